--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Bench of the real processes on loopback."""
--- /dev/null
+++ b/cumintack/__init__.py
@@ -0,0 +1,1 @@
+"""Scheduler for colocated latency-critical and batch work."""
--- /dev/null
+++ b/cumintack/cli/main.py
@@ -0,0 +1,213 @@
+"""The command ``cumintack``."""
+
+import pathlib
+import sys
+
+import click
+from result import Err, Ok
+
+from cumintack.cli.api import Api, ApiError, Applied
+from cumintack.cli.rendering import render_rows, render_timeline
+from cumintack.coordination.querying import Rows
+from cumintack.daemon.settings import load_settings
+from cumintack.transport.keys import create_key_files
+
+EXIT_FAILED = 1
+EXIT_BAD_SETTINGS = 2
+DEFAULT_HISTORY = 50
+DEFAULT_EVENTS = 500
+STYLES = click.Choice(['table', 'json', 'csv'])
+TIMELINE_STYLES = click.Choice(['table', 'json', 'csv', 'svg'])
+PATH = click.Path(path_type=pathlib.Path)
+
+
+class Tool:
+    """What all commands share."""
+
+    __slots__ = ('api', 'style')
+
+    def __init__(self, api: Api, style: str) -> None:
+        """Keep the API and the style of output."""
+        self.api = api
+        self.style = style
+
+    def run(self, text: str) -> None:
+        """Carry out one statement and print what came of it."""
+        match self.api.execute(text):
+            case Ok(Rows() as rows):
+                click.echo(render_rows(rows, self.style))
+            case Ok(Applied() as applied):
+                names = ', '.join(applied.names) or 'done'
+                click.echo(f'{names} (revision {applied.index})')
+            case Err(error):
+                fail(error)
+
+
+def fail(error: ApiError) -> None:
+    """Print an error and exit."""
+    where = f'{error.step} ({error.peer}): ' if error.step else ''
+    click.echo(f'{where}{error.error}', err=True)
+    sys.exit(EXIT_FAILED)
+
+
+@click.group()
+@click.option(
+    '--entry',
+    'entries',
+    multiple=True,
+    default=('127.0.0.1:8080',),
+    envvar='CUMINTACK_ENTRIES',
+    help='Address of an entry; may be given several times.',
+)
+@click.option(
+    '--token',
+    default='',
+    envvar='CUMINTACK_TOKEN',
+    help='Bearer token; better set in the environment.',
+)
+@click.option('--format', 'style', type=STYLES, default='table')
+@click.pass_context
+def main(
+    context: click.Context,
+    entries: tuple[str, ...],
+    token: str,
+    style: str,
+) -> None:
+    """Operate cumintack through any of its entries."""
+    context.obj = Tool(Api(entries, token), style)
+
+
+@main.command()
+@click.argument('text')
+@click.pass_obj
+def query(tool: Tool, text: str) -> None:
+    """Carry out one statement of the query and command language."""
+    tool.run(text)
+
+
+@main.command()
+@click.pass_obj
+def shell(tool: Tool) -> None:
+    """Carry out statements line by line, with history where there is one."""
+    try:
+        import readline  # noqa: F401, PLC0415
+    except ImportError:
+        click.echo('no line history on this machine', err=True)
+    while True:
+        try:
+            text = click.prompt('cumintack', prompt_suffix='> ')
+        except click.Abort:
+            click.echo()
+            return
+        if text.strip() in {'exit', 'quit'}:
+            return
+        if text.strip():
+            try:
+                tool.run(text)
+            except SystemExit:
+                continue
+
+
+@main.group()
+def config() -> None:
+    """Show and change the configuration."""
+
+
+@config.command('show')
+@click.pass_obj
+def config_show(tool: Tool) -> None:
+    """Show the keys that are set."""
+    tool.run('select * from config order by key')
+
+
+@config.command('set')
+@click.argument('key')
+@click.argument('setting')
+@click.option('--version', type=int, default=None)
+@click.pass_obj
+def config_set(
+    tool: Tool,
+    key: str,
+    setting: str,
+    version: int | None,
+) -> None:
+    """Set a key, if it is still at VERSION where one is given."""
+    condition = '' if version is None else f' if version {version}'
+    quoted = f'"{setting}"' if ' ' in setting else setting
+    tool.run(f'set {key} = {quoted}{condition}')
+
+
+@config.command('history')
+@click.option('--limit', default=DEFAULT_HISTORY)
+@click.pass_obj
+def config_history(tool: Tool, limit: int) -> None:
+    """Show who changed what, latest first."""
+    tool.run(f'select * from history order by revision desc limit {limit}')
+
+
+@config.command('diff')
+@click.argument('revision', type=int)
+@click.pass_obj
+def config_diff(tool: Tool, revision: int) -> None:
+    """Show what changed after REVISION."""
+    tool.run(
+        f'select * from history where revision > {revision} order by revision',
+    )
+
+
+@config.command('status')
+@click.pass_obj
+def config_status(tool: Tool) -> None:
+    """Show which process is at which revision."""
+    tool.run('select node, roles, revision, lag, silent_s from nodes')
+
+
+@main.command()
+@click.option('--subject', default='', help='Request, task or worker.')
+@click.option('--limit', default=DEFAULT_EVENTS)
+@click.option('--format', 'style', type=TIMELINE_STYLES, default='table')
+@click.option('--output', type=PATH, default=None)
+@click.pass_obj
+def timeline(
+    tool: Tool,
+    subject: str,
+    limit: int,
+    style: str,
+    output: pathlib.Path | None,
+) -> None:
+    """Show the events of all processes in causal order."""
+    match tool.api.fetch_timeline(subject, limit):
+        case Err(error):
+            fail(error)
+        case Ok(found):
+            if output is not None and output.suffix == '.svg':
+                style = 'svg'
+            text = render_timeline(found, style)
+            if output is None:
+                click.echo(text)
+            else:
+                output.write_text(text, encoding='utf-8')
+
+
+@main.command('check-settings')
+@click.argument('path', type=PATH)
+def check_settings(path: pathlib.Path) -> None:
+    """Check the settings file of a process."""
+    match load_settings(path):
+        case Err(problems):
+            for problem in problems:
+                click.echo(problem, err=True)
+            sys.exit(EXIT_BAD_SETTINGS)
+        case Ok(settings):
+            click.echo(f'{path}: good settings of {settings.name}')
+
+
+@main.command()
+@click.argument('folder', type=PATH)
+def keys(folder: pathlib.Path) -> None:
+    """Make the key pair of a deployment in FOLDER."""
+    click.echo(f'secret key: {create_key_files(folder)}')
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/cumintack/coordination/_placement_index.py
@@ -0,0 +1,238 @@
+"""The scheduler's index over the replicated tables.
+
+It follows the changes of the tables, so that the cost of a pass grows with
+what changed and not with the size of the tables.
+"""
+
+import bisect
+
+import msgspec
+
+from cumintack.state.jobs import (
+    PRIORITY_RANKS,
+    JobStatus,
+    Placement,
+    TaskReport,
+    TaskStatus,
+)
+from cumintack.state.resources import (
+    ZERO_RESOURCES,
+    Resources,
+    compute_difference,
+    compute_sum,
+    is_within,
+)
+from cumintack.state.tables import ControlTables
+from cumintack.state.workers import (
+    Worker,
+    compute_batch_capacity,
+    is_accepting,
+)
+
+EVICTABLE = frozenset((TaskStatus.placed, TaskStatus.running))
+
+
+class SchedulerSettings(msgspec.Struct, frozen=True):
+    """Limits of the scheduler.
+
+    Attributes:
+        max_placements: Placements in one pass.
+        keep_after_s: Age from which a job that fits nowhere gets a worker
+            kept free for it.
+    """
+
+    max_placements: int = 512
+    keep_after_s: float = 30.0
+
+
+class Shape(msgspec.Struct, frozen=True):
+    """What makes tasks alike for placement."""
+
+    need: Resources
+    data_centres: tuple[str, ...]
+
+
+class QueueKey(msgspec.Struct, frozen=True, order=True):
+    """A queue of one priority and one team."""
+
+    rank: int
+    team: str
+
+
+class FreeCores(msgspec.Struct, frozen=True, order=True):
+    """A worker in the order of its free cores."""
+
+    cores_milli: int
+    worker: str
+
+
+class Kept(msgspec.Struct, frozen=True):
+    """A worker kept free for a job."""
+
+    worker: str
+    job_id: str
+
+
+class Scheduler(msgspec.Struct):
+    """Index over the replicated tables, changed in place.
+
+    Attributes:
+        settings: Limits.
+        queues: Pending tasks by queue and job, in order of arrival.
+        free: Free resources of each worker that takes tasks.
+        by_cores: The same workers in the order of free cores.
+        proposed: Placements that were proposed and not committed yet.
+        blocked: Shapes that fit nowhere, with the time since when.
+        kept: Workers kept free for a job.
+        avoided: Kinds of task that a worker takes none of for now.
+        stopping: Tasks whose stop was proposed.
+    """
+
+    settings: SchedulerSettings
+    queues: dict[QueueKey, dict[str, dict[str, None]]] = {}
+    free: dict[str, Resources] = {}
+    by_cores: list[FreeCores] = []
+    proposed: dict[str, Placement] = {}
+    proposed_need: dict[str, Resources] = {}
+    team_proposed: dict[str, Resources] = {}
+    blocked: dict[Shape, float] = {}
+    kept: dict[str, Kept] = {}
+    avoided: dict[str, frozenset[str]] = {}
+    stopping: set[str] = set()
+
+
+class Decisions(msgspec.Struct):
+    """What a pass decided."""
+
+    placements: list[Placement] = []
+    stops: list[TaskReport] = []
+
+
+def create_scheduler(
+    settings: SchedulerSettings,
+    tables: ControlTables,
+) -> Scheduler:
+    """Create the index from the whole state, at the start of a term.
+
+    Args:
+        settings: Limits.
+        tables: The replicated state.
+
+    Returns:
+        An index with nothing proposed.
+    """
+    tables.derived.changed_tasks.update(tables.tasks)
+    tables.derived.changed_workers.update(tables.workers)
+    scheduler = Scheduler(settings)
+    follow_changes(scheduler, tables)
+    return scheduler
+
+
+def follow_changes(scheduler: Scheduler, tables: ControlTables) -> None:
+    """Follow what changed in the tables since the last call.
+
+    Args:
+        scheduler: The index.
+        tables: The replicated state, whose marks of change are taken.
+    """
+    derived = tables.derived
+    tasks = derived.changed_tasks
+    workers = derived.changed_workers
+    derived.changed_tasks = set()
+    derived.changed_workers = set()
+    for task_id in tasks:
+        workers.update(_follow_task(scheduler, tables, task_id))
+    for name in workers:
+        follow_worker(scheduler, tables, name)
+
+
+def _follow_task(
+    scheduler: Scheduler,
+    tables: ControlTables,
+    task_id: str,
+) -> list[str]:
+    task = tables.tasks.get(task_id)
+    if task is None:
+        return []
+    job = tables.jobs[task.job_id]
+    if task.status is not TaskStatus.running:
+        scheduler.stopping.discard(task_id)
+    touched = []
+    placement = scheduler.proposed.pop(task_id, None)
+    if placement is not None:
+        need = job.spec.need
+        shift(scheduler.proposed_need, placement.worker, need, is_added=False)
+        shift(scheduler.team_proposed, job.spec.team, need, is_added=False)
+        touched.append(placement.worker)
+    key = QueueKey(PRIORITY_RANKS[job.spec.priority], job.spec.team)
+    jobs = scheduler.queues.setdefault(key, {})
+    is_waiting = task.status is TaskStatus.pending
+    if is_waiting and job.status is JobStatus.active:
+        jobs.setdefault(job.job_id, {})[task_id] = None
+        return touched
+    waiting = jobs.get(job.job_id)
+    if waiting is not None:
+        waiting.pop(task_id, None)
+        if not waiting:
+            jobs.pop(job.job_id)
+    if not jobs:
+        scheduler.queues.pop(key, None)
+    return touched
+
+
+def shift(
+    amounts: dict[str, Resources],
+    name: str,
+    need: Resources,
+    *,
+    is_added: bool,
+) -> None:
+    before = amounts.get(name, ZERO_RESOURCES)
+    combine = compute_sum if is_added else compute_difference
+    after = combine(before, need)
+    if after == ZERO_RESOURCES:
+        amounts.pop(name, None)
+    else:
+        amounts[name] = after
+
+
+def follow_worker(
+    scheduler: Scheduler,
+    tables: ControlTables,
+    name: str,
+) -> None:
+    before = scheduler.free.pop(name, None)
+    if before is not None:
+        _remove_ordered(scheduler.by_cores, FreeCores(before.cores_milli, name))
+    worker = tables.workers.get(name)
+    if worker is None or not is_accepting(worker):
+        return
+    reserved = tables.derived.reserved.get(name, ZERO_RESOURCES)
+    proposed = scheduler.proposed_need.get(name, ZERO_RESOURCES)
+    taken = compute_sum(reserved, proposed)
+    free = compute_difference(compute_batch_capacity(worker), taken)
+    scheduler.free[name] = free
+    bisect.insort(scheduler.by_cores, FreeCores(free.cores_milli, name))
+    if before is None or not is_within(free, before):
+        _unblock(scheduler, worker, free)
+
+
+def _remove_ordered(ordered: list[FreeCores], place: FreeCores) -> None:
+    index = bisect.bisect_left(ordered, place)
+    if index < len(ordered) and ordered[index] == place:
+        ordered.pop(index)
+
+
+def _unblock(scheduler: Scheduler, worker: Worker, free: Resources) -> None:
+    fitting = [
+        shape
+        for shape in scheduler.blocked
+        if is_within(shape.need, free) and is_allowed(worker, shape)
+    ]
+    for shape in fitting:
+        scheduler.blocked.pop(shape)
+
+
+def is_allowed(worker: Worker, shape: Shape) -> bool:
+    allowed = shape.data_centres
+    return not allowed or worker.spec.data_centre in allowed
--- /dev/null
+++ b/cumintack/coordination/replication/_following.py
@@ -0,0 +1,239 @@
+"""What a replica does as a follower: terms, appends, received snapshots."""
+
+import random
+
+from cumintack.coordination.replication import _log
+from cumintack.coordination.replication._records import (
+    Replica,
+    Role,
+)
+from cumintack.protocol.replication_messages import (
+    AppendReply,
+    AppendRequest,
+    HardState,
+    LogEntry,
+    Snapshot,
+    SnapshotChunk,
+    SnapshotReply,
+)
+
+SEED_BITS = 32
+
+
+class CommittedEntryError(Exception):
+    """A leader tried to replace a committed entry; the replica must stop."""
+
+
+def postpone_election(replica: Replica, now_s: float) -> None:
+    """Set the time of the next election with jitter.
+
+    Args:
+        replica: The replica.
+        now_s: The time.
+    """
+    generator = random.Random(replica.jitter_state)  # noqa: S311
+    replica.jitter_state = generator.getrandbits(SEED_BITS)
+    timeout_s = replica.settings.election_timeout_s
+    replica.election_at_s = now_s + timeout_s * (1 + generator.random())
+
+
+def set_hard_state(replica: Replica, term: int, voted_for: str) -> None:
+    """Change the term or the vote, to be synced before anything leaves.
+
+    Args:
+        replica: The replica.
+        term: The term.
+        voted_for: Who got the vote in it, empty for nobody.
+    """
+    hard = HardState(term, voted_for, replica.hard.member_id)
+    if hard != replica.hard:
+        replica.hard = hard
+        replica.ready.hard_state = hard
+
+
+def become_follower(
+    replica: Replica,
+    term: int,
+    leader_id: str,
+    now_s: float,
+) -> None:
+    """Follow, in this term or a later one.
+
+    Args:
+        replica: The replica.
+        term: The term.
+        leader_id: Its leader, empty if unknown.
+        now_s: The time.
+    """
+    if replica.role is not Role.follower:
+        replica.role = Role.follower
+        postpone_election(replica, now_s)
+    replica.ready.failed_reads.extend(read.read_id for read in replica.reads)
+    replica.reads = []
+    replica.progress = {}
+    replica.votes = set()
+    replica.leader_id = leader_id
+    if term > replica.hard.term:
+        set_hard_state(replica, term, '')
+
+
+def _hear_leader(replica: Replica, sender: str, now_s: float) -> None:
+    replica.leader_id = sender
+    replica.leader_heard_at_s = now_s
+    replica.role = Role.follower
+    postpone_election(replica, now_s)
+
+
+def handle_append(
+    replica: Replica,
+    message: AppendRequest,
+    now_s: float,
+) -> None:
+    """Handle an append request.
+
+    Args:
+        replica: The replica.
+        message: The request.
+        now_s: The time.
+    """
+    if message.term < replica.hard.term:
+        _reply_append(replica, message, is_accepted=False, match_index=0)
+        return
+    _hear_leader(replica, message.sender, now_s)
+    base = replica.snapshot.last_index
+    entries = [entry for entry in message.entries if entry.index > base]
+    if message.previous_index >= base:
+        known_term = _log.get_term_at(replica, message.previous_index)
+        if known_term != message.previous_term:
+            hint = _compute_hint(replica, message)
+            _reply_append(
+                replica,
+                message,
+                is_accepted=False,
+                match_index=hint,
+            )
+            return
+    _merge(replica, entries)
+    match_index = message.previous_index + len(message.entries)
+    commit_index = min(message.commit_index, match_index)
+    replica.commit_index = max(replica.commit_index, commit_index)
+    if message.commit_index == commit_index:
+        _judge_complete(replica, message)
+    _reply_append(replica, message, is_accepted=True, match_index=match_index)
+
+
+def _judge_complete(replica: Replica, message: AppendRequest) -> None:
+    committed_term = _log.get_term_at(replica, message.commit_index)
+    if committed_term == message.term:
+        replica.is_incomplete = False
+
+
+def _compute_hint(replica: Replica, message: AppendRequest) -> int:
+    last = _log.get_last_index(replica)
+    if last < message.previous_index:
+        return last
+    conflict_term = _log.get_term_at(replica, message.previous_index)
+    index = message.previous_index
+    floor = max(replica.snapshot.last_index, replica.commit_index)
+    while index > floor and _log.get_term_at(replica, index) == conflict_term:
+        index -= 1
+    return index
+
+
+def _merge(replica: Replica, entries: list[LogEntry]) -> None:
+    for position, entry in enumerate(entries):
+        known_term = _log.get_term_at(replica, entry.index)
+        if known_term == entry.term:
+            continue
+        if entry.index <= replica.commit_index:
+            raise CommittedEntryError(entry.index)
+        if known_term is not None:
+            _log.truncate_from(replica, entry.index)
+        _log.append(replica, entries[position:])
+        return
+
+
+def _reply_append(
+    replica: Replica,
+    message: AppendRequest,
+    *,
+    is_accepted: bool,
+    match_index: int,
+) -> None:
+    replica.ready.messages.append(
+        AppendReply(
+            replica.hard.term,
+            replica.hard.member_id,
+            message.sender,
+            is_accepted,
+            match_index,
+            message.round_number,
+        ),
+    )
+
+
+def handle_chunk(
+    replica: Replica,
+    message: SnapshotChunk,
+    now_s: float,
+) -> None:
+    """Handle a chunk of a snapshot.
+
+    Args:
+        replica: The replica.
+        message: The chunk.
+        now_s: The time.
+    """
+    if message.term < replica.hard.term:
+        _reply_chunk(replica, message, 0)
+        return
+    _hear_leader(replica, message.sender, now_s)
+    if message.last_index <= replica.commit_index:
+        _reply_chunk(replica, message, message.total_bytes)
+        return
+    if replica.incoming_index != message.last_index or not message.offset:
+        replica.incoming = bytearray()
+        replica.incoming_index = message.last_index
+    if message.offset == len(replica.incoming):
+        replica.incoming.extend(message.chunk)
+    if len(replica.incoming) == message.total_bytes:
+        _install(replica, message)
+        _reply_chunk(replica, message, message.total_bytes)
+        return
+    _reply_chunk(replica, message, len(replica.incoming))
+
+
+def _install(replica: Replica, message: SnapshotChunk) -> None:
+    snapshot = Snapshot(
+        message.last_index,
+        message.last_term,
+        message.members,
+        bytes(replica.incoming),
+    )
+    replica.incoming = bytearray()
+    replica.incoming_index = 0
+    replica.entries = []
+    replica.snapshot = snapshot
+    replica.members = snapshot.members
+    replica.commit_index = snapshot.last_index
+    replica.delivered_index = snapshot.last_index
+    replica.synced_index = snapshot.last_index
+    replica.ready.entries = []
+    replica.ready.snapshot = snapshot
+
+
+def _reply_chunk(
+    replica: Replica,
+    message: SnapshotChunk,
+    next_offset: int,
+) -> None:
+    replica.ready.messages.append(
+        SnapshotReply(
+            replica.hard.term,
+            replica.hard.member_id,
+            message.sender,
+            message.last_index,
+            next_offset,
+            message.round_number,
+        ),
+    )
--- /dev/null
+++ b/cumintack/coordination/replication/_leading.py
@@ -0,0 +1,416 @@
+"""What a replica does as the leader: append, commit, confirm, step down."""
+
+from cumintack.coordination.replication import _following, _log
+from cumintack.coordination.replication._records import (
+    Progress,
+    Replica,
+    Role,
+)
+from cumintack.protocol.replication_messages import (
+    AppendReply,
+    AppendRequest,
+    Invitation,
+    LogEntry,
+    Member,
+    SnapshotChunk,
+    SnapshotReply,
+)
+
+RESEND_HEARTBEATS = 3
+
+
+def become_leader(replica: Replica, now_s: float) -> None:
+    """Lead the current term; the first entry of it commits the earlier ones.
+
+    Args:
+        replica: A candidate with a quorum of votes.
+        now_s: The time.
+    """
+    replica.role = Role.leader
+    replica.leader_id = replica.hard.member_id
+    replica.quorum_heard_at_s = now_s
+    replica.reads = []
+    replica.heartbeat_at_s = now_s
+    last_index = _log.get_last_index(replica)
+    replica.progress = {}
+    for member in replica.members:
+        _track(replica, member, last_index, now_s)
+    replica.term_start_index = append_entry(replica, b'', None, now_s)
+
+
+def _track(
+    replica: Replica,
+    member: Member,
+    last_index: int,
+    now_s: float,
+) -> None:
+    if member.member_id == replica.hard.member_id:
+        return
+    if member.member_id not in replica.progress:
+        replica.progress[member.member_id] = Progress(
+            last_index + 1,
+            heard_at_s=now_s,
+        )
+
+
+def append_entry(
+    replica: Replica,
+    payload: bytes,
+    members: tuple[Member, ...] | None,
+    now_s: float,
+) -> int:
+    """Append an entry of the current term; it is sent with the next ready.
+
+    Args:
+        replica: The leader.
+        payload: The encoded command, empty for none.
+        members: The new membership, or None.
+        now_s: The time.
+
+    Returns:
+        The index of the entry.
+    """
+    last_index = _log.get_last_index(replica)
+    index = last_index + 1
+    entry = LogEntry(index, replica.hard.term, payload, members)
+    _log.append(replica, [entry])
+    if members is not None:
+        for member in members:
+            _track(replica, member, last_index, now_s)
+        kept = {remaining.member_id for remaining in members}
+        replica.progress = {
+            member_id: progress
+            for member_id, progress in replica.progress.items()
+            if member_id in kept
+        }
+    return index
+
+
+def broadcast(replica: Replica, now_s: float) -> None:
+    """Send a heartbeat, with what entries there are, to every member.
+
+    Args:
+        replica: The leader.
+        now_s: The time.
+    """
+    replica.round_number += 1
+    replica.heartbeat_at_s = now_s + replica.settings.heartbeat_s
+    for member_id, progress in replica.progress.items():
+        _resend_stalled(replica, progress, now_s)
+        if _is_blank(replica, member_id, progress):
+            replica.ready.early_messages.append(
+                Invitation(
+                    replica.hard.term,
+                    replica.hard.member_id,
+                    member_id,
+                ),
+            )
+        send_to(replica, member_id, now_s, is_heartbeat=True)
+    confirm_reads(replica)
+
+
+def _resend_stalled(
+    replica: Replica,
+    progress: Progress,
+    now_s: float,
+) -> None:
+    stalled_s = replica.settings.heartbeat_s * RESEND_HEARTBEATS
+    if progress.is_probing or now_s - progress.sent_at_s < stalled_s:
+        return
+    if progress.next_index > progress.match_index + 1:
+        progress.next_index = progress.match_index + 1
+
+
+def _is_blank(replica: Replica, member_id: str, progress: Progress) -> bool:
+    member = _log.get_member(replica, member_id)
+    if member is None or member.is_voter:
+        return False
+    return not progress.match_index and not progress.snapshot_offset
+
+
+def send_to(
+    replica: Replica,
+    member_id: str,
+    now_s: float,
+    *,
+    is_heartbeat: bool = False,
+) -> None:
+    """Send entries to a member, or a chunk if it is too far behind.
+
+    Args:
+        replica: The leader.
+        member_id: The member.
+        now_s: The time.
+        is_heartbeat: Whether to send even without entries.
+    """
+    progress = replica.progress[member_id]
+    if progress.next_index <= replica.snapshot.last_index:
+        if is_heartbeat or progress.snapshot_index == 0:
+            _send_chunk(replica, member_id, progress, now_s)
+        return
+    entries = _choose_entries(replica, progress)
+    if not entries and not is_heartbeat:
+        return
+    previous_index = progress.next_index - 1
+    previous_term = _log.get_term_at(replica, previous_index)
+    if previous_term is None:
+        return
+    replica.ready.early_messages.append(
+        AppendRequest(
+            replica.hard.term,
+            replica.hard.member_id,
+            member_id,
+            previous_index,
+            previous_term,
+            tuple(entries),
+            replica.commit_index,
+            replica.round_number,
+        ),
+    )
+    if entries:
+        progress.sent_at_s = now_s
+        if not progress.is_probing:
+            progress.next_index += len(entries)
+
+
+def _choose_entries(replica: Replica, progress: Progress) -> list[LogEntry]:
+    settings = replica.settings
+    last = progress.next_index + settings.max_entries_per_append - 1
+    entries = _log.get_slice(replica, progress.next_index, last)
+    total_bytes = 0
+    for count, entry in enumerate(entries):
+        total_bytes += len(entry.payload)
+        if total_bytes > settings.max_append_bytes and count:
+            return entries[:count]
+    return entries
+
+
+def _send_chunk(
+    replica: Replica,
+    member_id: str,
+    progress: Progress,
+    now_s: float,
+) -> None:
+    snapshot = replica.snapshot
+    if progress.snapshot_index != snapshot.last_index:
+        progress.snapshot_index = snapshot.last_index
+        progress.snapshot_offset = 0
+    offset = progress.snapshot_offset
+    chunk_bytes = replica.settings.snapshot_chunk_bytes
+    progress.sent_at_s = now_s
+    replica.ready.early_messages.append(
+        SnapshotChunk(
+            replica.hard.term,
+            replica.hard.member_id,
+            member_id,
+            snapshot.last_index,
+            snapshot.last_term,
+            snapshot.members,
+            offset,
+            len(snapshot.encoded),
+            snapshot.encoded[offset : offset + chunk_bytes],
+            replica.round_number,
+        ),
+    )
+
+
+def handle_append_reply(
+    replica: Replica,
+    message: AppendReply,
+    now_s: float,
+) -> None:
+    """Handle the answer to an append request.
+
+    Args:
+        replica: The replica.
+        message: The answer.
+        now_s: The time.
+    """
+    progress = _get_current(replica, message, now_s)
+    if progress is None:
+        return
+    if not message.is_accepted:
+        if message.match_index < progress.match_index:
+            return
+        progress.next_index = max(
+            progress.match_index + 1,
+            min(message.match_index + 1, progress.next_index - 1),
+        )
+        progress.is_probing = True
+        send_to(replica, message.sender, now_s, is_heartbeat=True)
+        return
+    progress.is_probing = False
+    progress.snapshot_index = 0
+    if message.match_index > progress.match_index:
+        progress.match_index = message.match_index
+        progress.next_index = max(
+            progress.next_index,
+            message.match_index + 1,
+        )
+        advance_commit(replica, now_s)
+    _promote_learner(replica, message.sender, now_s)
+
+
+def _get_current(
+    replica: Replica,
+    message: AppendReply | SnapshotReply,
+    now_s: float,
+) -> Progress | None:
+    is_current = message.term == replica.hard.term
+    if replica.role is not Role.leader or not is_current:
+        return None
+    progress = replica.progress.get(message.sender)
+    if progress is None:
+        return None
+    progress.heard_at_s = now_s
+    progress.acked_round = max(progress.acked_round, message.round_number)
+    confirm_reads(replica)
+    return progress
+
+
+def handle_snapshot_reply(
+    replica: Replica,
+    message: SnapshotReply,
+    now_s: float,
+) -> None:
+    """Handle the answer to a snapshot chunk: send the next or go on.
+
+    Args:
+        replica: The replica.
+        message: The answer.
+        now_s: The time.
+    """
+    progress = _get_current(replica, message, now_s)
+    if progress is None:
+        return
+    if message.last_index != progress.snapshot_index:
+        return
+    total_bytes = len(replica.snapshot.encoded)
+    is_whole = message.next_offset >= total_bytes
+    if is_whole:
+        progress.snapshot_index = 0
+        progress.snapshot_offset = total_bytes
+        progress.match_index = max(progress.match_index, message.last_index)
+        progress.next_index = message.last_index + 1
+        progress.is_probing = False
+        advance_commit(replica, now_s)
+        send_to(replica, message.sender, now_s, is_heartbeat=True)
+        return
+    if message.next_offset != progress.snapshot_offset:
+        progress.snapshot_offset = message.next_offset
+        _send_chunk(replica, message.sender, progress, now_s)
+
+
+def advance_commit(replica: Replica, now_s: float) -> None:
+    """Commit what a quorum has synced, if it is of the current term.
+
+    Args:
+        replica: The leader.
+        now_s: The time.
+    """
+    matches = []
+    for member in _log.get_voters(replica):
+        if member.member_id == replica.hard.member_id:
+            matches.append(replica.synced_index)
+        else:
+            matches.append(replica.progress[member.member_id].match_index)
+    matches.sort(reverse=True)
+    index = matches[_log.compute_quorum(replica) - 1]
+    if index <= replica.commit_index:
+        return
+    if _log.get_term_at(replica, index) != replica.hard.term:
+        return
+    replica.commit_index = index
+    _leave_if_removed(replica, now_s)
+
+
+def _leave_if_removed(replica: Replica, now_s: float) -> None:
+    if _log.is_voter(replica):
+        return
+    if get_membership_index(replica) <= replica.commit_index:
+        for member_id in replica.progress:
+            send_to(replica, member_id, now_s, is_heartbeat=True)
+        _following.become_follower(replica, replica.hard.term, '', now_s)
+
+
+def get_membership_index(replica: Replica) -> int:
+    """Get the index of the entry that made the membership in force.
+
+    Args:
+        replica: The replica.
+
+    Returns:
+        The index, at most that of the snapshot if the entry is in it.
+    """
+    for entry in reversed(replica.entries):
+        if entry.members is not None:
+            return entry.index
+    return replica.snapshot.last_index
+
+
+def _promote_learner(replica: Replica, member_id: str, now_s: float) -> None:
+    member = _log.get_member(replica, member_id)
+    if member is None or member.is_voter:
+        return
+    progress = replica.progress[member_id]
+    is_settled = get_membership_index(replica) <= replica.commit_index
+    has_caught_up = progress.match_index >= replica.commit_index
+    is_own_term = replica.commit_index >= replica.term_start_index
+    if not (is_settled and has_caught_up and is_own_term):
+        return
+    members = tuple(
+        Member(other.member_id, other.name, other.address, is_voter=True)
+        if other.member_id == member_id
+        else other
+        for other in replica.members
+    )
+    append_entry(replica, b'', members, now_s)
+
+
+def check_quorum(replica: Replica, now_s: float) -> None:
+    """Step down if a quorum was not heard within the election timeout.
+
+    Args:
+        replica: The leader.
+        now_s: The time.
+    """
+    heard = []
+    for member in _log.get_voters(replica):
+        if member.member_id == replica.hard.member_id:
+            heard.append(now_s)
+        else:
+            heard.append(replica.progress[member.member_id].heard_at_s)
+    heard.sort(reverse=True)
+    quorum = _log.compute_quorum(replica)
+    replica.quorum_heard_at_s = max(
+        replica.quorum_heard_at_s,
+        heard[quorum - 1],
+    )
+    quiet_s = now_s - replica.quorum_heard_at_s
+    if quiet_s >= replica.settings.election_timeout_s:
+        _following.become_follower(replica, replica.hard.term, '', now_s)
+
+
+def confirm_reads(replica: Replica) -> None:
+    """Release the reads whose round a quorum has answered.
+
+    Args:
+        replica: The leader.
+    """
+    if not replica.reads:
+        return
+    rounds = []
+    for member in _log.get_voters(replica):
+        if member.member_id == replica.hard.member_id:
+            rounds.append(replica.round_number)
+        else:
+            rounds.append(replica.progress[member.member_id].acked_round)
+    rounds.sort(reverse=True)
+    confirmed = rounds[_log.compute_quorum(replica) - 1]
+    waiting = []
+    for read in replica.reads:
+        if read.round_number <= confirmed:
+            replica.ready.reads.append(read.read_id)
+        else:
+            waiting.append(read)
+    replica.reads = waiting
--- /dev/null
+++ b/cumintack/coordination/replication/_ready.py
@@ -0,0 +1,93 @@
+"""The batch of work that a driver takes from a replica.
+
+The driver writes, syncs, reports the sync, sends and applies. Messages of a
+leader that only announce entries leave before the sync; everything that
+promises durability leaves after it.
+"""
+
+from cumintack.coordination.replication import _leading, _log
+from cumintack.coordination.replication._records import (
+    Ready,
+    Replica,
+    Role,
+)
+from cumintack.protocol.replication_messages import LogEntry, Snapshot
+
+
+def take_ready(replica: Replica, now_s: float) -> Ready:
+    """Take what was decided since the last call.
+
+    Args:
+        replica: The replica.
+        now_s: The time.
+
+    Returns:
+        The batch.
+    """
+    if replica.role is Role.leader:
+        for member_id, progress in replica.progress.items():
+            if not progress.is_probing:
+                _leading.send_to(replica, member_id, now_s)
+    ready = replica.ready
+    replica.ready = Ready()
+    return ready
+
+
+def complete_persist(replica: Replica, ready: Ready, now_s: float) -> None:
+    """Take note that a batch is synced.
+
+    Args:
+        replica: The replica.
+        ready: The batch that was written and synced.
+        now_s: The time.
+    """
+    if ready.entries:
+        last = ready.entries[-1]
+        if _log.get_term_at(replica, last.index) == last.term:
+            replica.synced_index = max(replica.synced_index, last.index)
+    if replica.role is Role.leader:
+        _leading.advance_commit(replica, now_s)
+
+
+def take_committed(replica: Replica) -> list[LogEntry]:
+    """Take the entries that were committed since the last call.
+
+    What a quorum has synced may be applied here even while the disk of this
+    replica is full, since the applied state is not on its disk.
+
+    Args:
+        replica: The replica.
+
+    Returns:
+        The entries to apply, in order.
+    """
+    committed = _log.get_slice(
+        replica,
+        replica.delivered_index + 1,
+        replica.commit_index,
+    )
+    replica.delivered_index = replica.commit_index
+    return committed
+
+
+def complete_compaction(replica: Replica, encoded: bytes, index: int) -> None:
+    """Replace the log up to an applied index by a snapshot.
+
+    Args:
+        replica: The replica.
+        encoded: The encoded state as of that index.
+        index: Last index contained in the snapshot.
+    """
+    term = _log.get_term_at(replica, index)
+    if term is None or index <= replica.snapshot.last_index:
+        return
+    members = replica.snapshot.members
+    kept_from = index - replica.snapshot.last_index
+    for entry in replica.entries[:kept_from]:
+        if entry.members is not None:
+            members = entry.members
+    del replica.entries[:kept_from]
+    replica.snapshot = Snapshot(index, term, members, encoded)
+    for progress in replica.progress.values():
+        progress.snapshot_index = 0
+        progress.snapshot_offset = 0
--- /dev/null
+++ b/cumintack/coordination/replication/_replica.py
@@ -0,0 +1,340 @@
+"""Elections, appends, snapshots and reads of a replica.
+
+Every function takes the replica, the event and the time in seconds of a
+monotonic clock. What is to be written, sent and applied gathers in
+``replica.ready``, so that one sync to disk serves for many events.
+"""
+
+from cumintack.coordination.replication import _leading, _log, _following
+from cumintack.coordination.replication._records import (
+    PendingRead,
+    Replica,
+    ReplicaSettings,
+    Role,
+)
+from cumintack.protocol.replication_messages import (
+    AppendReply,
+    AppendRequest,
+    Invitation,
+    DurableState,
+    HardState,
+    Member,
+    ReplicationMessage,
+    SnapshotChunk,
+    SnapshotReply,
+    VoteReply,
+    VoteRequest,
+)
+from cumintack.state.errors import ErrorCode, StepError
+
+
+def create_replica(
+    settings: ReplicaSettings,
+    durable: DurableState,
+    now_s: float,
+    seed: int,
+) -> Replica:
+    """Create a replica from what its disk holds.
+
+    With an empty disk it waits for an invitation, and neither votes nor
+    accepts entries. With a cut tail it may have lost what it acknowledged,
+    and takes no part in elections until a leader has made it whole.
+
+    Args:
+        settings: Timing and limits.
+        durable: What the disk holds.
+        now_s: The time.
+        seed: Seed of the election jitter.
+
+    Returns:
+        A follower.
+    """
+    snapshot = durable.snapshot
+    replica = Replica(
+        settings,
+        durable.hard,
+        snapshot,
+        list(durable.entries),
+        snapshot.members,
+        seed,
+        commit_index=snapshot.last_index,
+        delivered_index=snapshot.last_index,
+    )
+    replica.members = _log.compute_members(replica)
+    replica.synced_index = _log.get_last_index(replica)
+    is_alone = len(_log.get_voters(replica)) == 1
+    replica.is_incomplete = durable.is_tail_cut and not is_alone
+    _following.postpone_election(replica, now_s)
+    return replica
+
+
+def create_first_members(
+    names_and_addresses: tuple[tuple[str, str], ...],
+) -> tuple[Member, ...]:
+    """Create the membership with which a control group starts.
+
+    Args:
+        names_and_addresses: Name and link address of each replica.
+
+    Returns:
+        Voters of the first generation.
+    """
+    return tuple(
+        Member(f'{name}.1', name, address)
+        for name, address in names_and_addresses
+    )
+
+
+def handle_tick(replica: Replica, now_s: float) -> None:
+    """Let time pass: heartbeats, elections, loss of quorum.
+
+    Args:
+        replica: The replica.
+        now_s: The time.
+    """
+    if replica.role is Role.leader:
+        _leading.check_quorum(replica, now_s)
+    if replica.role is Role.leader:
+        if now_s >= replica.heartbeat_at_s:
+            _leading.broadcast(replica, now_s)
+        return
+    may_stand = _log.is_voter(replica) and not replica.is_incomplete
+    if now_s >= replica.election_at_s and may_stand:
+        _start_trial(replica, now_s)
+
+
+def handle_message(
+    replica: Replica,
+    message: ReplicationMessage,
+    now_s: float,
+) -> None:
+    """Handle a message from another replica.
+
+    Args:
+        replica: The replica.
+        message: The message.
+        now_s: The time.
+    """
+    if isinstance(message, Invitation):
+        _accept_invitation(replica, message)
+        return
+    if not replica.hard.member_id:
+        return
+    if message.receiver != replica.hard.member_id:
+        return
+    if isinstance(message, VoteRequest):
+        _handle_vote_request(replica, message, now_s)
+        return
+    if message.term > replica.hard.term and not _is_trial_reply(message):
+        _following.become_follower(replica, message.term, '', now_s)
+    match message:
+        case VoteReply():
+            _handle_vote_reply(replica, message, now_s)
+        case AppendRequest():
+            _following.handle_append(replica, message, now_s)
+        case SnapshotChunk():
+            _following.handle_chunk(replica, message, now_s)
+        case AppendReply():
+            _leading.handle_append_reply(replica, message, now_s)
+        case SnapshotReply():
+            _leading.handle_snapshot_reply(replica, message, now_s)
+
+
+def _is_trial_reply(message: ReplicationMessage) -> bool:
+    return (
+        isinstance(message, VoteReply)
+        and message.is_trial
+        and message.is_granted
+    )
+
+
+def _accept_invitation(replica: Replica, message: Invitation) -> None:
+    if replica.hard.member_id:
+        return
+    hard = HardState(message.term, '', message.receiver)
+    replica.hard = hard
+    replica.ready.hard_state = hard
+
+
+def _start_trial(replica: Replica, now_s: float) -> None:
+    replica.role = Role.trial_candidate
+    replica.leader_id = ''
+    replica.votes = {replica.hard.member_id}
+    _following.postpone_election(replica, now_s)
+    if len(replica.votes) >= _log.compute_quorum(replica):
+        _start_election(replica, now_s)
+        return
+    _request_votes(replica, replica.hard.term + 1, is_trial=True)
+
+
+def _start_election(replica: Replica, now_s: float) -> None:
+    replica.role = Role.candidate
+    replica.votes = {replica.hard.member_id}
+    _following.set_hard_state(
+        replica,
+        replica.hard.term + 1,
+        replica.hard.member_id,
+    )
+    _following.postpone_election(replica, now_s)
+    if len(replica.votes) >= _log.compute_quorum(replica):
+        _leading.become_leader(replica, now_s)
+        return
+    _request_votes(replica, replica.hard.term, is_trial=False)
+
+
+def _request_votes(replica: Replica, term: int, *, is_trial: bool) -> None:
+    for member in _log.get_voters(replica):
+        if member.member_id == replica.hard.member_id:
+            continue
+        replica.ready.messages.append(
+            VoteRequest(
+                term,
+                replica.hard.member_id,
+                member.member_id,
+                _log.get_last_index(replica),
+                _log.get_last_term(replica),
+                is_trial,
+            ),
+        )
+
+
+def _handle_vote_request(
+    replica: Replica,
+    message: VoteRequest,
+    now_s: float,
+) -> None:
+    quiet_s = now_s - replica.leader_heard_at_s
+    is_led = quiet_s < replica.settings.election_timeout_s
+    if is_led or replica.role is Role.leader or replica.is_incomplete:
+        return
+    if message.is_trial:
+        is_granted = message.term > replica.hard.term and _is_up_to_date(
+            replica, message
+        )
+        _reply_vote(replica, message, is_granted)
+        return
+    if message.term > replica.hard.term:
+        _following.become_follower(replica, message.term, '', now_s)
+    is_granted = (
+        message.term == replica.hard.term
+        and replica.hard.voted_for in {'', message.sender}
+        and _is_up_to_date(replica, message)
+    )
+    if is_granted:
+        _following.set_hard_state(replica, message.term, message.sender)
+        _following.postpone_election(replica, now_s)
+    _reply_vote(replica, message, is_granted)
+
+
+def _is_up_to_date(replica: Replica, message: VoteRequest) -> bool:
+    mine = (_log.get_last_term(replica), _log.get_last_index(replica))
+    return (message.last_term, message.last_index) >= mine
+
+
+def _reply_vote(
+    replica: Replica,
+    message: VoteRequest,
+    is_granted: bool,
+) -> None:
+    term = message.term if is_granted else replica.hard.term
+    replica.ready.messages.append(
+        VoteReply(
+            term,
+            replica.hard.member_id,
+            message.sender,
+            is_granted,
+            message.is_trial,
+        ),
+    )
+
+
+def _handle_vote_reply(
+    replica: Replica,
+    message: VoteReply,
+    now_s: float,
+) -> None:
+    if not message.is_granted:
+        return
+    sender = _log.get_member(replica, message.sender)
+    if sender is None or not sender.is_voter:
+        return
+    is_trial = replica.role is Role.trial_candidate
+    expected = replica.hard.term + 1 if is_trial else replica.hard.term
+    is_standing = is_trial or replica.role is Role.candidate
+    if not is_standing or message.is_trial is not is_trial:
+        return
+    if message.term != expected:
+        return
+    replica.votes.add(message.sender)
+    if len(replica.votes) < _log.compute_quorum(replica):
+        return
+    if is_trial:
+        _start_election(replica, now_s)
+    else:
+        _leading.become_leader(replica, now_s)
+
+
+def propose(
+    replica: Replica,
+    payload: bytes,
+    now_s: float,
+) -> int | StepError:
+    """Propose a command.
+
+    Args:
+        replica: The replica.
+        payload: The encoded command.
+        now_s: The time.
+
+    Returns:
+        The index of its entry, or why this replica can't take it.
+    """
+    if replica.role is not Role.leader:
+        return _refuse(replica, ErrorCode.not_leader, 'this is not the leader')
+    open_count = _log.get_last_index(replica) - replica.commit_index
+    if open_count >= replica.settings.max_unsynced_entries:
+        return _refuse(
+            replica,
+            ErrorCode.unavailable,
+            f'{open_count} entries wait for a quorum',
+        )
+    return _leading.append_entry(replica, payload, None, now_s)
+
+
+def request_read(
+    replica: Replica,
+    read_id: int,
+    now_s: float,
+) -> StepError | None:
+    """Ask for a read that can't be stale.
+
+    Args:
+        replica: The replica.
+        read_id: Number under which it comes back in ``Ready``.
+        now_s: The time.
+
+    Returns:
+        None if it waits for a quorum, else why it is refused.
+    """
+    if replica.role is not Role.leader:
+        return _refuse(replica, ErrorCode.not_leader, 'this is not the leader')
+    if replica.commit_index < replica.term_start_index:
+        return _refuse(
+            replica,
+            ErrorCode.unavailable,
+            'the leader has not committed in its term yet',
+        )
+    replica.reads.append(
+        PendingRead(
+            read_id,
+            replica.round_number + 1,
+            replica.commit_index,
+        ),
+    )
+    replica.heartbeat_at_s = now_s
+    _leading.confirm_reads(replica)
+    return None
+
+
+def _refuse(replica: Replica, code: ErrorCode, detail: str) -> StepError:
+    return StepError(code, 'replication', replica.leader_id, detail)
--- /dev/null
+++ b/cumintack/coordination/scheduling.py
@@ -0,0 +1,238 @@
+"""Placement of batch tasks: which task next, and on which worker.
+
+The index kept here is derived from the replicated tables and follows their
+changes, so that the cost of a pass grows with what changed and not with the
+size of the tables. Tasks of the same shape are treated alike: a shape that
+fits nowhere waits until a worker that could take it has more room.
+"""
+
+import bisect
+import collections
+import math
+
+from cumintack.coordination._placement_index import (
+    Decisions,
+    FreeCores,
+    QueueKey,
+    Scheduler,
+    SchedulerSettings,
+    Shape,
+    create_scheduler,
+    follow_changes,
+    follow_worker,
+    is_allowed,
+    shift,
+)
+from cumintack.coordination._preemption import help_blocked, stop_task
+from cumintack.state.jobs import (
+    PRIORITY_RANKS,
+    Job,
+    JobSpec,
+    Placement,
+    Task,
+)
+from cumintack.state.resources import (
+    ZERO_RESOURCES,
+    Resources,
+    compute_sum,
+    is_within,
+)
+from cumintack.state.tables import ControlTables
+
+__all__ = (
+    'Decisions',
+    'Scheduler',
+    'SchedulerSettings',
+    'create_scheduler',
+    'follow_changes',
+    'run_pass',
+)
+
+
+def run_pass(
+    scheduler: Scheduler,
+    tables: ControlTables,
+    now_s: float,
+) -> Decisions:
+    """Decide on placements and stops.
+
+    Args:
+        scheduler: The index, which takes note of the decisions.
+        tables: The replicated state.
+        now_s: The time.
+
+    Returns:
+        Placements and stops to propose.
+    """
+    follow_changes(scheduler, tables)
+    decisions = Decisions()
+    _stop_drained(scheduler, tables, decisions)
+    for rank in sorted(set(PRIORITY_RANKS.values())):
+        _place_rank(scheduler, tables, rank, decisions, now_s)
+    return decisions
+
+
+def _stop_drained(
+    scheduler: Scheduler,
+    tables: ControlTables,
+    decisions: Decisions,
+) -> None:
+    for name, worker in tables.workers.items():
+        if not worker.is_draining:
+            continue
+        for task_id in tables.derived.tasks_by_worker.get(name, ()):
+            stop_task(scheduler, tables.tasks[task_id], 'drained', decisions)
+
+
+def _place_rank(
+    scheduler: Scheduler,
+    tables: ControlTables,
+    rank: int,
+    decisions: Decisions,
+    now_s: float,
+) -> None:
+    teams = {
+        key.team: collections.deque(jobs)
+        for key, jobs in scheduler.queues.items()
+        if key.rank == rank
+    }
+    usages = {team: _compute_usage(scheduler, tables, team) for team in teams}
+    while teams:
+        if len(decisions.placements) >= scheduler.settings.max_placements:
+            return
+        team = min(usages, key=usages.__getitem__)
+        jobs = teams[team]
+        if not jobs:
+            teams.pop(team)
+            usages.pop(team)
+            continue
+        key = QueueKey(rank, team)
+        job = tables.jobs[jobs[0]]
+        if _place_next(scheduler, tables, key, job, decisions, now_s):
+            usages[team] = _compute_usage(scheduler, tables, team)
+        else:
+            jobs.popleft()
+
+
+def _compute_usage(
+    scheduler: Scheduler,
+    tables: ControlTables,
+    team: str,
+) -> float:
+    record = tables.teams.get(team)
+    if record is None:
+        return math.inf
+    used = _get_used(scheduler, tables, team)
+    quota = record.quota
+    ratios = [
+        used.cores_milli / max(1, quota.cores_milli),
+        used.memory_mb / max(1, quota.memory_mb),
+        used.accelerators / max(1, quota.accelerators),
+    ]
+    return max(ratios) / record.share
+
+
+def _get_used(
+    scheduler: Scheduler,
+    tables: ControlTables,
+    team: str,
+) -> Resources:
+    return compute_sum(
+        tables.derived.team_usage.get(team, ZERO_RESOURCES),
+        scheduler.team_proposed.get(team, ZERO_RESOURCES),
+    )
+
+
+def _place_next(
+    scheduler: Scheduler,
+    tables: ControlTables,
+    key: QueueKey,
+    job: Job,
+    decisions: Decisions,
+    now_s: float,
+) -> bool:
+    waiting = scheduler.queues.get(key, {}).get(job.job_id)
+    if not waiting:
+        return False
+    spec = job.spec
+    used = _get_used(scheduler, tables, spec.team)
+    quota = tables.teams[spec.team].quota
+    if not is_within(compute_sum(used, spec.need), quota):
+        return False
+    shape = Shape(spec.need, spec.data_centres)
+    if shape in scheduler.blocked:
+        help_blocked(scheduler, tables, job, shape, decisions, now_s)
+        return False
+    task = tables.tasks[next(iter(waiting))]
+    name = _find_worker(scheduler, tables, job, task, shape)
+    if name is None:
+        if not task.failed_on and not spec.spread_racks:
+            scheduler.blocked[shape] = now_s
+        help_blocked(scheduler, tables, job, shape, decisions, now_s)
+        return False
+    placement = Placement(task.task_id, task.attempt + 1, name)
+    waiting.pop(task.task_id)
+    _note_placement(scheduler, tables, spec, placement)
+    decisions.placements.append(placement)
+    return True
+
+
+def _note_placement(
+    scheduler: Scheduler,
+    tables: ControlTables,
+    spec: JobSpec,
+    placement: Placement,
+) -> None:
+    scheduler.proposed[placement.task_id] = placement
+    shift(
+        scheduler.proposed_need,
+        placement.worker,
+        spec.need,
+        is_added=True,
+    )
+    shift(scheduler.team_proposed, spec.team, spec.need, is_added=True)
+    kept = scheduler.kept.get(placement.worker)
+    if kept is not None and placement.task_id.startswith(f'{kept.job_id}/'):
+        scheduler.kept.pop(placement.worker)
+    follow_worker(scheduler, tables, placement.worker)
+
+
+def _find_worker(
+    scheduler: Scheduler,
+    tables: ControlTables,
+    job: Job,
+    task: Task,
+    shape: Shape,
+) -> str | None:
+    start = bisect.bisect_left(
+        scheduler.by_cores,
+        FreeCores(shape.need.cores_milli, ''),
+    )
+    racks = _get_sibling_racks(tables, job) if job.spec.spread_racks else set()
+    for place in scheduler.by_cores[start:]:
+        name = place.worker
+        is_large = is_within(shape.need, scheduler.free[name])
+        if not is_large or name in task.failed_on:
+            continue
+        worker = tables.workers[name]
+        is_apart = worker.spec.rack not in racks
+        if is_apart and _is_open(scheduler, job, name):
+            if is_allowed(worker, shape):
+                return name
+    return None
+
+
+def _is_open(scheduler: Scheduler, job: Job, name: str) -> bool:
+    kept = scheduler.kept.get(name)
+    if kept is not None and kept.job_id != job.job_id:
+        return False
+    return job.spec.kind not in scheduler.avoided.get(name, ())
+
+
+def _get_sibling_racks(tables: ControlTables, job: Job) -> set[str]:
+    racks = set()
+    for number in range(job.spec.task_count):
+        task = tables.tasks[f'{job.job_id}/{number}']
+        if task.worker and task.worker in tables.workers:
+            racks.add(tables.workers[task.worker].spec.rack)
+    return racks
--- /dev/null
+++ b/cumintack/coordination/worker_tasks.py
@@ -0,0 +1,188 @@
+"""Tasks of one worker, as its guard keeps them in step with the leader.
+
+The worker knows what runs, the leader knows what should run, and the guard
+compares the two at each heartbeat. It keeps only what protects against late
+orders: the highest term heard and the attempts that have ended.
+"""
+
+import collections
+
+import msgspec
+
+from cumintack.protocol.messages import TaskOrder, WorkerOrders
+from cumintack.protocol.worker_actions import (
+    ForgetAttempts,
+    HeldAttempt,
+    RenewAttempts,
+    StartAttempt,
+    StopAttempt,
+    ThrottleAttempt,
+    WorkerAction,
+)
+from cumintack.state.jobs import ReportKind, TaskReport
+
+MAX_REMEMBERED = 20000
+
+
+REPORT_KINDS = {
+    'running': ReportKind.started,
+    'stopped': ReportKind.stopped,
+    'completed': ReportKind.completed,
+    'failed': ReportKind.failed,
+}
+
+
+class WorkerTasks(msgspec.Struct):
+    """What a guard remembers of the tasks of its worker.
+
+    Attributes:
+        worker: Name of the worker.
+        term: Highest term of a leader heard.
+        sent_at_s: Time of the latest heartbeat to the leader.
+        is_answered: Whether that heartbeat was answered.
+        held: Attempts as the worker last reported them.
+        ended: Highest attempt known to have ended, by task.
+    """
+
+    worker: str
+    term: int = 0
+    sent_at_s: float = 0
+    is_answered: bool = True
+    held: dict[tuple[str, int], HeldAttempt] = {}
+    ended: collections.OrderedDict[str, int] = msgspec.field(
+        default_factory=collections.OrderedDict,
+    )
+
+
+def take_report(state: WorkerTasks, held: list[HeldAttempt]) -> None:
+    """Take what the worker reports.
+
+    Args:
+        state: The guard's memory.
+        held: Everything that the worker holds, ended attempts included.
+    """
+    state.held = {
+        (attempt.task_id, attempt.attempt): attempt for attempt in held
+    }
+    for attempt in held:
+        if attempt.phase != 'running':
+            _remember_ended(state, attempt.task_id, attempt.attempt)
+
+
+def _remember_ended(state: WorkerTasks, task_id: str, attempt: int) -> None:
+    highest = max(attempt, state.ended.pop(task_id, 0))
+    state.ended[task_id] = highest
+    if len(state.ended) > MAX_REMEMBERED:
+        state.ended.popitem(last=False)
+
+
+def create_reports(state: WorkerTasks) -> tuple[TaskReport, ...]:
+    """Create the reports for the leader.
+
+    Args:
+        state: The guard's memory.
+
+    Returns:
+        One report for each attempt held.
+    """
+    return tuple(
+        TaskReport(
+            attempt.task_id,
+            attempt.attempt,
+            REPORT_KINDS[attempt.phase],
+            state.worker,
+            attempt.checkpoint,
+            attempt.detail,
+        )
+        for attempt in state.held.values()
+        if attempt.phase in REPORT_KINDS
+    )
+
+
+def take_orders(
+    state: WorkerTasks,
+    orders: WorkerOrders,
+    now_s: float,
+) -> list[WorkerAction]:
+    """Compare what should run with what runs.
+
+    Only the first answer to the latest heartbeat counts, and none of an
+    earlier term: an older one may name attempts that have ended since.
+
+    Args:
+        state: The guard's memory.
+        orders: The answer of the leader.
+        now_s: The time.
+
+    Returns:
+        What the worker has to do.
+    """
+    is_latest = orders.echoed_sent_at_s == state.sent_at_s
+    if not is_latest or state.is_answered or orders.term < state.term:
+        return []
+    state.term = orders.term
+    state.is_answered = True
+    expires_at_s = orders.echoed_sent_at_s + orders.lease_s
+    wanted = {(order.task_id, order.attempt): order for order in orders.orders}
+    actions: list[WorkerAction] = []
+    _stop_unwanted(state, wanted, actions)
+    _drop_settled(state, orders, wanted, actions)
+    if expires_at_s <= now_s:
+        return actions
+    renewed = []
+    for key, order in wanted.items():
+        held = state.held.get(key)
+        if held is None:
+            _start_wanted(state, order, expires_at_s, actions)
+        elif held.phase == 'running':
+            renewed.append(key)
+            if order.is_throttled != held.is_throttled:
+                actions.append(
+                    ThrottleAttempt(*key, order.is_throttled),
+                )
+    if renewed:
+        actions.append(RenewAttempts(tuple(renewed), expires_at_s))
+    return actions
+
+
+def _start_wanted(
+    state: WorkerTasks,
+    order: TaskOrder,
+    expires_at_s: float,
+    actions: list[WorkerAction],
+) -> None:
+    is_over = state.ended.get(order.task_id, 0) >= order.attempt
+    if not (is_over or order.is_stop):
+        actions.append(StartAttempt(order, expires_at_s))
+
+
+def _stop_unwanted(
+    state: WorkerTasks,
+    wanted: dict[tuple[str, int], TaskOrder],
+    actions: list[WorkerAction],
+) -> None:
+    for key, held in state.held.items():
+        order = wanted.get(key)
+        is_wanted = order is not None and not order.is_stop
+        if held.phase == 'running' and not is_wanted:
+            actions.append(StopAttempt(*key))
+    for key, order in wanted.items():
+        is_over = state.ended.get(order.task_id, 0) >= order.attempt
+        if order.is_stop and key not in state.held and not is_over:
+            actions.append(StopAttempt(*key))
+
+
+def _drop_settled(
+    state: WorkerTasks,
+    orders: WorkerOrders,
+    wanted: dict[tuple[str, int], TaskOrder],
+    actions: list[WorkerAction],
+) -> None:
+    dropped = []
+    for task_id, attempt in orders.settled:
+        held = state.held.get((task_id, attempt))
+        _remember_ended(state, task_id, attempt)
+        if held is not None and held.phase != 'running':
+            dropped.append((task_id, attempt))
+    if dropped:
+        actions.append(ForgetAttempts(tuple(dropped)))
--- /dev/null
+++ b/cumintack/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon: wires decisions to links, HTTP, files and clocks."""
--- /dev/null
+++ b/cumintack/daemon/admin.py
@@ -0,0 +1,396 @@
+"""The administration API of an entry."""
+
+from http import HTTPStatus
+import queue
+import urllib.parse
+from collections.abc import Callable
+
+import msgspec
+from result import Err, Ok
+
+from cumintack.coordination.entry_state import EntryState
+from cumintack.coordination.querying import (
+    UPSTREAM_COLUMNS,
+    get_upstream_rows,
+    run_query,
+)
+from cumintack.coordination.statements import create_operation
+from cumintack.coordination.timeline import (
+    Gathering,
+    Timeline,
+    create_timeline,
+    is_gathered,
+    take_reply,
+)
+from cumintack.daemon.node import CallReply, Node
+from cumintack.protocol.language import (
+    ReplicaChange,
+    Select,
+    Statement,
+    parse_statement,
+)
+from cumintack.protocol.messages import (
+    ChangeReplica,
+    Proposed,
+    Propose,
+    QueryReply,
+    QueryRequest,
+)
+from cumintack.protocol.timeline_messages import (
+    TimelineReply,
+    TimelineRequest,
+)
+from cumintack.state.commands import Command, Operation
+from cumintack.state.errors import ErrorCode, StepError
+from cumintack.state.events import get_events
+from cumintack.transport.http_server import HttpRequest, HttpResponse
+from cumintack.transport.operator_edge import (
+    ADMIN_PREFIX,
+    ExecuteBody,
+    Operator,
+    OperatorAccess,
+    OperatorToken,
+    check_allowed,
+    identify_operator,
+    read_execute,
+)
+from cumintack.transport.upstream_edge import (
+    create_error_response,
+    get_error_status,
+)
+
+CALL_TIMEOUT_S = 10.0
+WAIT_S = 12.0
+GATHER_TIMEOUT_S = 1.0
+MAX_EVENTS = 5000
+
+Responses = queue.SimpleQueue[HttpResponse]
+AskAction = Callable[[Responses], None]
+
+
+class ErrorBody(msgspec.Struct, frozen=True):
+    """JSON body of an error."""
+
+    error: str
+    step: str
+    peer: str
+    code: str
+    version: int
+
+
+class CommandBody(msgspec.Struct, frozen=True):
+    """JSON body of a command that was applied."""
+
+    index: int
+    names: tuple[str, ...]
+
+
+class HealthBody(msgspec.Struct, frozen=True):
+    """JSON body of ``/admin/v1/health``."""
+
+    name: str
+    is_current: bool
+    revision: int
+    leader: str
+    guards: int
+
+
+def create_step_response(error: StepError) -> HttpResponse:
+    """Create the response for an error.
+
+    Args:
+        error: The error.
+
+    Returns:
+        A JSON body with its step and peer.
+    """
+    body = ErrorBody(
+        error.detail,
+        error.step,
+        error.peer,
+        error.code.value,
+        error.version,
+    )
+    return HttpResponse(
+        get_error_status(error.code),
+        msgspec.json.encode(body),
+    )
+
+
+class Admin:
+    """Serves operators; its ``serve`` is called by HTTP threads."""
+
+    __slots__ = ('_access', '_gatherings', '_last_gathering', '_node', '_state')
+
+    def __init__(self, node: Node, state: EntryState) -> None:
+        """Answer from the state of an entry and from the control group."""
+        settings = node.settings.admin
+        self._node = node
+        self._state = state
+        self._gatherings: dict[int, Gathering] = {}
+        self._last_gathering = 0
+        self._access = OperatorAccess(
+            settings.is_loopback_open,
+            tuple(
+                OperatorToken(known.token, known.name, known.role, known.team)
+                for known in settings.tokens
+            ),
+        )
+
+    def serve(self, request: HttpRequest) -> HttpResponse:
+        """Serve one request."""
+        verb = request.path[len(ADMIN_PREFIX) :]
+        match identify_operator(request, self._access):
+            case Err(error):
+                return create_error_response(
+                    HTTPStatus.UNAUTHORIZED,
+                    error.detail,
+                )
+            case Ok(operator):
+                return self._serve_verb(verb, request, operator)
+
+    def _serve_verb(
+        self,
+        verb: str,
+        request: HttpRequest,
+        operator: Operator,
+    ) -> HttpResponse:
+        match (request.method, verb):
+            case ('POST', 'execute'):
+                return self._execute(request, operator)
+            case ('GET', 'timeline'):
+                return self._serve_timeline(request)
+            case ('GET', 'health'):
+                return self._serve_health()
+            case (_, 'execute' | 'timeline' | 'health'):
+                return create_error_response(
+                    HTTPStatus.METHOD_NOT_ALLOWED, 'another method is needed'
+                )
+        return create_error_response(HTTPStatus.NOT_FOUND, 'no such path')
+
+    def _execute(
+        self,
+        request: HttpRequest,
+        operator: Operator,
+    ) -> HttpResponse:
+        match read_execute(request):
+            case Err(error):
+                return create_step_response(error)
+            case Ok(body):
+                pass
+        match parse_statement(body.text):
+            case Err(error):
+                return create_step_response(error)
+            case Ok(statement):
+                pass
+        refusal = check_allowed(operator, statement)
+        if refusal is not None:
+            return create_step_response(refusal)
+        return self._carry_out(statement, body, operator)
+
+    def _carry_out(
+        self,
+        statement: Statement,
+        body: ExecuteBody,
+        operator: Operator,
+    ) -> HttpResponse:
+        match statement:
+            case Select(table='upstreams'):
+                return self._ask(
+                    lambda out: self._list_upstreams(statement, out)
+                )
+            case Select(table='events'):
+                return self._ask(lambda out: self._list_events(statement, out))
+            case Select():
+                return self._ask(lambda out: self._query(body.text, out))
+            case ReplicaChange():
+                return self._ask(lambda out: self._change(statement, out))
+        match create_operation(statement):
+            case Err(error):
+                return create_step_response(error)
+            case Ok(operation):
+                return self._ask(
+                    lambda out: self._propose(operation, body, operator, out),
+                )
+
+    def _ask(self, action: AskAction) -> HttpResponse:
+        responses: Responses = queue.SimpleQueue()
+        self._node.post(lambda: action(responses))
+        try:
+            return responses.get(timeout=WAIT_S)
+        except queue.Empty:
+            return create_error_response(
+                HTTPStatus.GATEWAY_TIMEOUT, 'no answer in time'
+            )
+
+    def _list_upstreams(self, select: Select, responses: Responses) -> None:
+        rows = get_upstream_rows(self._state, self._node.clock.now_s())
+        match run_query(select, UPSTREAM_COLUMNS, rows):
+            case Ok(found):
+                responses.put(
+                    HttpResponse(HTTPStatus.OK, msgspec.json.encode(found))
+                )
+            case Err(error):
+                responses.put(create_step_response(error))
+
+    def _list_events(self, select: Select, responses: Responses) -> None:
+        events = get_events(self._node.ring, '', MAX_EVENTS)
+        rows = [
+            (
+                event.stamp.wall_ms,
+                event.stamp.counter,
+                event.process,
+                event.name,
+                event.subject,
+                event.detail,
+            )
+            for event in events
+        ]
+        columns = (
+            'wall_ms',
+            'counter',
+            'process',
+            'event',
+            'subject',
+            'detail',
+        )
+        match run_query(select, columns, rows):
+            case Ok(found):
+                responses.put(
+                    HttpResponse(HTTPStatus.OK, msgspec.json.encode(found))
+                )
+            case Err(error):
+                responses.put(create_step_response(error))
+
+    def _query(self, text: str, responses: Responses) -> None:
+        self._node.call(
+            lambda call_id: QueryRequest(call_id, text),
+            CALL_TIMEOUT_S,
+            lambda reply: responses.put(_create_query_response(reply)),
+        )
+
+    def _change(self, statement: ReplicaChange, responses: Responses) -> None:
+        self._node.call(
+            lambda call_id: ChangeReplica(
+                call_id,
+                statement.name,
+                statement.address,
+                statement.is_removal,
+            ),
+            CALL_TIMEOUT_S,
+            lambda reply: responses.put(_create_command_response(reply)),
+        )
+
+    def _propose(
+        self,
+        operation: Operation,
+        body: ExecuteBody,
+        operator: Operator,
+        responses: Responses,
+    ) -> None:
+        session = f'op.{operator.name}.{body.session}'
+        sequence = body.sequence
+        if not body.session:
+            incarnation = self._node.incarnation
+            sequence = self._node.calls.last_call_id + 1
+            session = f'op.{self._node.settings.name}.{incarnation}.{sequence}'
+        command = Command(session, sequence, operator.name, 0, operation)
+        self._node.call(
+            lambda call_id: Propose(call_id, command),
+            CALL_TIMEOUT_S,
+            lambda reply: responses.put(_create_command_response(reply)),
+        )
+
+    def _serve_health(self) -> HttpResponse:
+        node = self._node
+        body = HealthBody(
+            node.settings.name,
+            node.is_current,
+            node.configuration.revision,
+            node.calls.leader,
+            len(self._state.guards),
+        )
+        status = HTTPStatus.SERVICE_UNAVAILABLE
+        if node.is_current:
+            status = HTTPStatus.OK
+        return HttpResponse(status, msgspec.json.encode(body))
+
+    def _serve_timeline(self, request: HttpRequest) -> HttpResponse:
+        query = dict(urllib.parse.parse_qsl(request.query))
+        subject = query.get('subject', '')
+        limit = query.get('limit', '1000')
+        if not limit.isdigit() or not 1 <= int(limit) <= MAX_EVENTS:
+            return create_error_response(
+                HTTPStatus.BAD_REQUEST, f'limit: 1..{MAX_EVENTS}'
+            )
+        return self._ask(
+            lambda out: self._gather(subject, int(limit), out),
+        )
+
+    def _gather(self, subject: str, limit: int, responses: Responses) -> None:
+        node = self._node
+        expected = {peer.name for peer in node.settings.control_replicas}
+        expected.update(peer.name for peer in node.settings.entries)
+        expected.update(self._state.guards)
+        expected.discard(node.settings.name)
+        self._last_gathering += 1
+        gathering = Gathering(
+            self._last_gathering,
+            expected,
+            node.clock.now_s() + GATHER_TIMEOUT_S,
+            limit,
+            responses.put,
+        )
+        gathering.events.extend(get_events(node.ring, subject, limit))
+        self._gatherings[gathering.call_id] = gathering
+        for name in sorted(expected):
+            node.send(
+                name,
+                TimelineRequest(gathering.call_id, subject, limit),
+            )
+
+    def take_timeline(self, reply: TimelineReply) -> None:
+        """Take the events of a process; called by the loop."""
+        gathering = self._gatherings.get(reply.call_id)
+        if gathering is not None:
+            take_reply(gathering, reply)
+
+    def tick(self, now_s: float) -> None:
+        """Answer gatherings that are complete or out of time."""
+        for gathering in list(self._gatherings.values()):
+            if is_gathered(gathering) or now_s >= gathering.deadline_s:
+                self._gatherings.pop(gathering.call_id)
+                timeline: Timeline = create_timeline(gathering)
+                gathering.deliver(
+                    HttpResponse(HTTPStatus.OK, msgspec.json.encode(timeline)),
+                )
+
+
+def _create_query_response(reply: CallReply | None) -> HttpResponse:
+    if not isinstance(reply, QueryReply):
+        return create_step_response(_create_timeout())
+    if reply.error is not None:
+        return create_step_response(reply.error)
+    return HttpResponse(HTTPStatus.OK, reply.rows)
+
+
+def _create_command_response(reply: CallReply | None) -> HttpResponse:
+    if not isinstance(reply, Proposed):
+        return create_step_response(_create_timeout())
+    error = reply.error
+    if reply.outcome is not None:
+        error = reply.outcome.error
+    if error is not None or reply.outcome is None:
+        return create_step_response(error or _create_timeout())
+    body = CommandBody(reply.outcome.index, reply.outcome.names)
+    return HttpResponse(HTTPStatus.OK, msgspec.json.encode(body))
+
+
+def _create_timeout() -> StepError:
+    return StepError(
+        ErrorCode.no_quorum,
+        'admin.call',
+        'control',
+        'no answer from a leader in time; a command may still be applied, '
+        'send it again with the same session and sequence',
+    )
--- /dev/null
+++ b/cumintack/daemon/assembly.py
@@ -0,0 +1,43 @@
+"""Puts a process together from its settings."""
+
+import pathlib
+
+from cumintack.daemon.control_part import ControlPart
+from cumintack.daemon.entry_part import EntryPart
+from cumintack.daemon.guard_part import GuardPart
+from cumintack.daemon.node import Node
+from cumintack.daemon.settings import Settings
+from cumintack.transport.clock import Clock
+from cumintack.transport.keys import load_keys
+
+
+def create_node(
+    settings: Settings,
+    clock: Clock,
+    *,
+    is_bootstrap: bool,
+) -> Node:
+    """Create a process with the roles that its settings name.
+
+    Args:
+        settings: Checked settings.
+        clock: The clocks to use.
+        is_bootstrap: Whether to make an empty data folder.
+
+    Returns:
+        A process that listens; ``run`` starts its loop.
+    """
+    keys = None
+    if settings.keys_file:
+        keys = load_keys(pathlib.Path(settings.keys_file))
+    node = Node(settings, clock, keys)
+    node.start()
+    if settings.control:
+        node.parts.append(
+            ControlPart(node, settings.control, is_bootstrap=is_bootstrap),
+        )
+    if settings.entry:
+        node.parts.append(EntryPart(node, settings.entry))
+    if settings.guard:
+        node.parts.append(GuardPart(node, settings.guard))
+    return node
--- /dev/null
+++ b/cumintack/daemon/control_part.py
@@ -0,0 +1,529 @@
+"""Role ``control``: a replica, the scheduler and the leases on the leader."""
+
+import pathlib
+import sys
+
+import msgspec
+import structlog
+from result import Err, Ok
+
+from cumintack.coordination import replication
+from cumintack.coordination.effects import Note
+from cumintack.coordination.leases import LeaseSettings
+from cumintack.coordination.querying import (
+    NodeView,
+    QuerySources,
+    run_control_query,
+)
+from cumintack.coordination.replication import (
+    Ready,
+    Replica,
+    ReplicaSettings,
+    Role,
+)
+from cumintack.daemon.leader import Leader, LeaderContext
+from cumintack.daemon.node import Node
+from cumintack.daemon.settings import ControlSettings
+from cumintack.protocol.language import Select, parse_statement
+from cumintack.protocol.messages import (
+    ChangeReplica,
+    Goodbye,
+    Message,
+    NodeStatus,
+    NodeStatusReply,
+    Propose,
+    Proposed,
+    QueryReply,
+    QueryRequest,
+    WorkerStatus,
+)
+from cumintack.protocol.replication_messages import (
+    AppendReply,
+    AppendRequest,
+    Invitation,
+    LogEntry,
+    ReplicationMessage,
+    Snapshot,
+    SnapshotChunk,
+    SnapshotReply,
+    VoteReply,
+    VoteRequest,
+)
+from cumintack.state.commands import Command, Outcome
+from cumintack.state.configuration import Configuration
+from cumintack.state.errors import ErrorCode, StepError, render_error
+from cumintack.state.machine import (
+    apply_command,
+    decode_tables,
+    encode_tables,
+)
+from cumintack.state.tables import ControlTables
+from cumintack.transport.clock import get_wall_ms
+from cumintack.transport.journal import FatalDiskError, Journal
+
+EXIT_DISK_FAILED = 3
+HEX_BASE = 16
+REPLICATION_KINDS = (
+    AppendReply,
+    AppendRequest,
+    Invitation,
+    SnapshotChunk,
+    SnapshotReply,
+    VoteReply,
+    VoteRequest,
+)
+
+logger = structlog.get_logger()
+_COMMANDS = msgspec.msgpack.Decoder(Command)
+
+
+class Waiter(msgspec.Struct, frozen=True):
+    """Who waits for the outcome of a log entry."""
+
+    peer: str
+    call_id: int
+    term: int
+
+
+class WaitingQuery(msgspec.Struct, frozen=True):
+    """A query that waits until the leader is confirmed."""
+
+    peer: str
+    call_id: int
+    select: Select
+
+
+class ControlPart:
+    """A control replica within a process."""
+
+    __slots__ = (
+        '_context',
+        '_journal',
+        '_leader',
+        '_last_read_id',
+        '_node',
+        '_nodes',
+        '_queries',
+        '_replica',
+        '_settings',
+        '_tables',
+        '_unwritten',
+        '_waiters',
+        '_is_stopping',
+    )
+
+    def __init__(
+        self,
+        node: Node,
+        settings: ControlSettings,
+        *,
+        is_bootstrap: bool,
+    ) -> None:
+        """Recover from the data folder, or make it with ``is_bootstrap``."""
+        self._node = node
+        self._settings = settings
+        self._journal = Journal(pathlib.Path(settings.data_folder))
+        self._tables = ControlTables()
+        self._nodes: dict[str, NodeView] = {}
+        self._queries: dict[int, WaitingQuery] = {}
+        self._waiters: dict[int, Waiter] = {}
+        self._unwritten: list[Ready] = []
+        self._last_read_id = 0
+        self._is_stopping = False
+        self._replica = self._recover(is_bootstrap=is_bootstrap)
+        self._context = LeaderContext(
+            node,
+            settings,
+            LeaseSettings(
+                lease_s=settings.lease_ms / 1000,
+                former_leader_s=settings.election_timeout_ms * 2 / 1000,
+            ),
+            self._propose_own,
+        )
+        self._leader: Leader | None = None
+
+    def _recover(self, *, is_bootstrap: bool) -> Replica:
+        node = self._node
+        journal = self._journal
+        if journal.is_blank() and is_bootstrap:
+            members = replication.create_first_members(
+                tuple(
+                    (peer.name, peer.address)
+                    for peer in node.settings.control_replicas
+                ),
+            )
+            journal.bootstrap(f'{node.settings.name}.1', members)
+            logger.info('control: data folder made')
+        match journal.recover():
+            case Err(error):
+                logger.error('control: not started', error=render_error(error))
+                sys.exit(EXIT_DISK_FAILED)
+            case Ok(durable):
+                if durable.snapshot.encoded:
+                    self._tables = decode_tables(durable.snapshot.encoded)
+                return replication.create_replica(
+                    ReplicaSettings(
+                        heartbeat_s=self._settings.heartbeat_ms / 1000,
+                        election_timeout_s=(
+                            self._settings.election_timeout_ms / 1000
+                        ),
+                    ),
+                    durable,
+                    node.clock.now_s(),
+                    int(node.incarnation, HEX_BASE),
+                )
+
+    def handle(self, sender: str, message: Message) -> bool:
+        """Handle a message; false if it is not for this part."""
+        now_s = self._node.clock.now_s()
+        if isinstance(message, REPLICATION_KINDS):
+            replication.handle_message(self._replica, message, now_s)
+            return True
+        match message:
+            case Propose():
+                self._handle_propose(sender, message, now_s)
+            case QueryRequest():
+                self._handle_query(sender, message, now_s)
+            case ChangeReplica():
+                self._handle_change(sender, message, now_s)
+            case NodeStatus():
+                self._handle_node(sender, message, now_s)
+            case WorkerStatus():
+                if self._leader is not None and self._is_confirmed(now_s):
+                    self._leader.handle_worker(sender, message, now_s)
+            case Goodbye():
+                self._nodes.pop(message.name, None)
+                return False
+            case _:
+                return False
+        return True
+
+    def _is_confirmed(self, now_s: float) -> bool:
+        replication.handle_tick(self._replica, now_s)
+        replica = self._replica
+        is_leader = replica.role is Role.leader
+        return is_leader and replica.delivered_index >= replica.term_start_index
+
+    def _get_leader_name(self) -> str:
+        return self._replica.leader_id.rpartition('.')[0]
+
+    def _handle_node(
+        self,
+        sender: str,
+        message: NodeStatus,
+        now_s: float,
+    ) -> None:
+        self._nodes[message.name] = NodeView(
+            message.name,
+            message.roles,
+            message.data_centre,
+            message.revision,
+            now_s,
+        )
+        self._node.send(
+            sender,
+            NodeStatusReply(
+                self._tables.configuration.revision,
+                self._get_leader_name(),
+                self._is_confirmed(now_s),
+            ),
+        )
+
+    def _handle_propose(
+        self,
+        sender: str,
+        message: Propose,
+        now_s: float,
+    ) -> None:
+        command = msgspec.structs.replace(
+            message.command,
+            proposed_at_ms=get_wall_ms(self._node.clock),
+        )
+        index = self._propose(command, now_s)
+        if isinstance(index, StepError):
+            self._refuse(sender, message.call_id, index)
+            return
+        term = self._replica.hard.term
+        self._waiters[index] = Waiter(sender, message.call_id, term)
+
+    def _propose(self, command: Command, now_s: float) -> int | StepError:
+        if self._unwritten:
+            return StepError(
+                ErrorCode.unavailable,
+                'control.propose',
+                self._node.settings.name,
+                'the disk is full',
+            )
+        payload = msgspec.msgpack.encode(command)
+        return replication.propose(self._replica, payload, now_s)
+
+    def _propose_own(self, command: Command) -> bool:
+        index = self._propose(command, self._node.clock.now_s())
+        return not isinstance(index, StepError)
+
+    def _refuse(self, peer: str, call_id: int, error: StepError) -> None:
+        self._node.send(
+            peer,
+            Proposed(call_id, None, error, self._get_leader_name()),
+        )
+
+    def _handle_query(
+        self,
+        sender: str,
+        message: QueryRequest,
+        now_s: float,
+    ) -> None:
+        statement = parse_statement(message.text)
+        match statement:
+            case Ok(Select() as select):
+                self._last_read_id += 1
+                error = replication.request_read(
+                    self._replica,
+                    self._last_read_id,
+                    now_s,
+                )
+                if error is None:
+                    self._queries[self._last_read_id] = WaitingQuery(
+                        sender,
+                        message.call_id,
+                        select,
+                    )
+                    return
+            case Err(problem):
+                error = problem
+            case _:
+                error = StepError(
+                    ErrorCode.invalid,
+                    'query',
+                    sender,
+                    'only select is a query',
+                )
+        self._answer_query(sender, message.call_id, error)
+
+    def _answer_query(
+        self,
+        peer: str,
+        call_id: int,
+        error: StepError | None,
+        rows: bytes = b'',
+    ) -> None:
+        reply = QueryReply(call_id, rows, error, self._get_leader_name())
+        self._node.send(peer, reply)
+
+    def _handle_change(
+        self,
+        sender: str,
+        message: ChangeReplica,
+        now_s: float,
+    ) -> None:
+        replica = self._replica
+        if message.is_removal:
+            index = replication.propose_remove(replica, message.name, now_s)
+        else:
+            index = replication.propose_add(
+                replica,
+                message.name,
+                message.address,
+                now_s,
+            )
+        if isinstance(index, StepError):
+            self._refuse(sender, message.call_id, index)
+            return
+        term = replica.hard.term
+        self._waiters[index] = Waiter(sender, message.call_id, term)
+
+    def tick(self, now_s: float) -> None:
+        """Let time pass: write, send, apply, schedule."""
+        replication.handle_tick(self._replica, now_s)
+        self._work_off(now_s)
+        self._follow_role(now_s)
+        if self._leader is not None:
+            self._leader.tick(self._tables, now_s)
+            self._work_off(now_s)
+        self._dial_members()
+
+    def _work_off(self, now_s: float) -> None:
+        ready = replication.take_ready(self._replica, now_s)
+        self._send(ready.early_messages)
+        if has_writes(ready) or ready.messages:
+            self._unwritten.append(ready)
+        while self._unwritten and self._write(self._unwritten[0]):
+            batch = self._unwritten.pop(0)
+            replication.complete_persist(self._replica, batch, now_s)
+            self._send(batch.messages)
+        committed = replication.take_committed(self._replica)
+        self._apply(committed)
+        self._answer_reads(ready.reads)
+        self._fail_reads(ready.failed_reads)
+        self._compact()
+
+    def _write(self, batch: Ready) -> bool:
+        try:
+            self._write_batch(batch)
+        except FatalDiskError as error:
+            logger.error('control: sync failed', error=str(error))
+            sys.exit(EXIT_DISK_FAILED)
+        except OSError as error:
+            logger.error('control: write failed', error=str(error))
+            self._node.metrics.count('control.write_failed')
+            return False
+        return True
+
+    def _write_batch(self, batch: Ready) -> None:
+        if batch.hard_state is not None:
+            self._journal.write_hard_state(batch.hard_state)
+        if batch.snapshot is not None:
+            self._journal.write_snapshot(batch.snapshot, [])
+            self._install(batch.snapshot)
+        if batch.entries:
+            self._journal.append(batch.entries)
+            self._journal.sync()
+
+    def _install(self, snapshot: Snapshot) -> None:
+        self._tables = decode_tables(snapshot.encoded)
+        self._node.take_configuration(self._tables.configuration)
+        logger.info('control: snapshot installed', index=snapshot.last_index)
+
+    def _send(self, messages: list[ReplicationMessage]) -> None:
+        addresses = {
+            member.member_id: member.name for member in self._replica.members
+        }
+        for message in messages:
+            name = addresses.get(message.receiver)
+            if name is None:
+                name = message.receiver.rpartition('.')[0]
+            self._node.send(name, message)
+
+    def _apply(self, committed: list[LogEntry]) -> None:
+        before = self._tables.configuration.revision
+        for entry in committed:
+            outcome = Outcome(entry.index)
+            if entry.payload:
+                command = _COMMANDS.decode(entry.payload)
+                outcome = apply_command(self._tables, entry.index, command)
+                if self._leader is not None:
+                    self._leader.follow(self._tables, command, outcome)
+            self._tables.applied_index = entry.index
+            self._answer_waiter(entry, outcome)
+        if self._tables.configuration.revision != before:
+            self._node.take_configuration(self._tables.configuration)
+
+    def _answer_waiter(self, entry: LogEntry, outcome: Outcome) -> None:
+        waiter = self._waiters.pop(entry.index, None)
+        if waiter is None:
+            return
+        if waiter.term == entry.term:
+            self._node.send(waiter.peer, Proposed(waiter.call_id, outcome))
+            return
+        self._refuse(waiter.peer, waiter.call_id, self._create_lost())
+
+    def _create_lost(self) -> StepError:
+        return StepError(
+            ErrorCode.not_leader,
+            'control.propose',
+            self._node.settings.name,
+            'leadership was lost',
+        )
+
+    def _answer_reads(self, read_ids: list[int]) -> None:
+        for read_id in read_ids:
+            query = self._queries.pop(read_id)
+            sources = QuerySources(
+                self._tables,
+                self._replica,
+                self._nodes,
+                self._node.clock.now_s(),
+            )
+            match run_control_query(query.select, sources):
+                case Ok(rows):
+                    encoded = msgspec.json.encode(rows)
+                    self._answer_query(
+                        query.peer,
+                        query.call_id,
+                        None,
+                        encoded,
+                    )
+                case Err(error):
+                    self._answer_query(query.peer, query.call_id, error)
+
+    def _fail_reads(self, read_ids: list[int]) -> None:
+        for read_id in read_ids:
+            query = self._queries.pop(read_id)
+            self._answer_query(
+                query.peer,
+                query.call_id,
+                self._create_lost(),
+            )
+
+    def _compact(self) -> None:
+        replica = self._replica
+        applied = self._tables.applied_index
+        grown = applied - replica.snapshot.last_index
+        if grown < self._settings.snapshot_every or self._unwritten:
+            return
+        encoded = encode_tables(self._tables)
+        replication.complete_compaction(replica, encoded, applied)
+        try:
+            self._journal.write_snapshot(replica.snapshot, replica.entries)
+        except OSError as error:
+            logger.error('control: snapshot failed', error=str(error))
+            return
+        logger.info('control: snapshot written', index=applied)
+
+    def _follow_role(self, now_s: float) -> None:
+        is_leader = self._is_confirmed(now_s)
+        if is_leader and self._leader is None:
+            self._leader = Leader(
+                self._context,
+                self._tables,
+                self._replica.hard.term,
+                now_s,
+            )
+            logger.info('control: leading', term=self._replica.hard.term)
+            self._node.note(
+                Note(
+                    'control.leading',
+                    f'term/{self._replica.hard.term}',
+                ),
+            )
+        elif self._replica.role is not Role.leader and self._leader is not None:
+            self._leader = None
+            logger.info('control: following', leader=self._replica.leader_id)
+        if self._replica.role is not Role.leader and self._waiters:
+            for waiter in self._waiters.values():
+                self._refuse(waiter.peer, waiter.call_id, self._create_lost())
+            self._waiters = {}
+
+    def _dial_members(self) -> None:
+        for member in self._replica.members:
+            if member.name != self._node.settings.name:
+                self._node.links.dial(member.name, member.address)
+
+    def take_configuration(self, configuration: Configuration) -> None:
+        """Do nothing: the replicated state is where it comes from."""
+
+    def begin_stop(self) -> None:
+        """Hand leadership over by silence; nothing is cut off."""
+        self._is_stopping = True
+
+    def is_idle(self) -> bool:
+        """Return whether no command waits for its outcome."""
+        return not self._waiters
+
+    def close(self) -> None:
+        """Close the data folder."""
+        self._journal.close()
+
+
+def has_writes(ready: Ready) -> bool:
+    """Tell whether a batch has anything for the disk.
+
+    Args:
+        ready: The batch.
+
+    Returns:
+        True if it has to be written before its messages leave.
+    """
+    return bool(
+        ready.hard_state or ready.snapshot is not None or ready.entries,
+    )
--- /dev/null
+++ b/cumintack/daemon/entry_part.py
@@ -0,0 +1,343 @@
+"""Role ``entry``: HTTP for callers and operators, routing to guards."""
+
+from http import HTTPStatus
+import queue
+import random
+import secrets
+
+import structlog
+
+from cumintack.coordination import routing
+from cumintack.coordination.budget import Bucket
+from cumintack.coordination.effects import (
+    Effect,
+    Note,
+    ProposeOperation,
+    Reply,
+    Send,
+)
+from cumintack.coordination.entry_state import EntryState
+from cumintack.daemon.admin import Admin
+from cumintack.daemon.node import CallHandler, CallReply, Node
+from cumintack.daemon.settings import EntrySettings
+from cumintack.protocol.messages import (
+    EntryStatus,
+    Goodbye,
+    GuardStatus,
+    Message,
+    Propose,
+    Proposed,
+)
+from cumintack.protocol.timeline_messages import TimelineReply
+from cumintack.state.commands import (
+    ClaimRequest,
+    Command,
+    Operation,
+    Outcome,
+    SettleClaim,
+)
+from cumintack.state.configuration import Configuration, get_number
+from cumintack.state.requests import Answer, OutcomeKind, Request
+from cumintack.transport.caller_edge import (
+    CallerDefaults,
+    CallerOutcome,
+    create_response,
+    get_service,
+    read_request,
+)
+from cumintack.transport.http_server import (
+    HttpRequest,
+    HttpResponse,
+    HttpServer,
+)
+from cumintack.transport.operator_edge import ADMIN_PREFIX
+from cumintack.transport.upstream_edge import create_error_response
+
+SESSION_SPAN = 32
+CLAIM_GIVE_UP_S = 60.0
+SETTLE_TIMEOUT_S = 30.0
+EXTRA_WAIT_S = 2.0
+SEED_BITS = 64
+TICK_INTERVAL_S = 0.005
+FIRST_RETRY_TOKENS = 10.0
+
+logger = structlog.get_logger()
+ReplyQueue = queue.SimpleQueue[Reply]
+
+
+class EntryPart:
+    """An entry within a process."""
+
+    __slots__ = (
+        '_admin',
+        '_claims_open',
+        '_is_stopping',
+        '_node',
+        '_numbers',
+        '_sequence',
+        '_server',
+        '_settings',
+        '_tick_at_s',
+        '_waiting',
+        'state',
+    )
+
+    def __init__(self, node: Node, settings: EntrySettings) -> None:
+        """Listen for callers and operators."""
+        self._node = node
+        self._settings = settings
+        self._is_stopping = False
+        self._sequence = 0
+        self._numbers = 0
+        self._tick_at_s = 0.0
+        self._claims_open: set[str] = set()
+        self._waiting: dict[str, ReplyQueue] = {}
+        self.state = EntryState(
+            node.settings.name,
+            node.settings.data_centre,
+            random.Random(secrets.randbits(SEED_BITS)),
+            Bucket(FIRST_RETRY_TOKENS, node.clock.now_s()),
+        )
+        self._admin = Admin(node, self.state)
+        self._server = HttpServer(
+            settings.http_address,
+            self._serve,
+            settings.threads,
+            settings.max_body_bytes,
+        )
+        self._server.start()
+
+    def _serve(self, http_request: HttpRequest) -> HttpResponse:
+        if http_request.path.startswith(ADMIN_PREFIX):
+            return self._admin.serve(http_request)
+        service = get_service(http_request.path)
+        if not service:
+            return create_error_response(HTTPStatus.NOT_FOUND, 'no such path')
+        timeout_ms = get_number(
+            self._node.configuration,
+            f'service.{service}.timeout_ms',
+        )
+        request_id = f'r{secrets.token_hex(8)}'
+        read = read_request(
+            http_request,
+            request_id,
+            CallerDefaults(int(timeout_ms), self._settings.max_timeout_ms),
+        )
+        if isinstance(read, str):
+            return create_error_response(HTTPStatus.BAD_REQUEST, read)
+        return self._wait_for(read)
+
+    def _wait_for(self, request: Request) -> HttpResponse:
+        started_at_s = self._node.clock.now_s()
+        replies: ReplyQueue = queue.SimpleQueue()
+        self._node.post(lambda: self._take_request(request, replies))
+        try:
+            reply = replies.get(timeout=request.timeout_s + EXTRA_WAIT_S)
+        except queue.Empty:
+            reply = Reply(
+                request.request_id,
+                OutcomeKind.unknown,
+                'the entry did not decide in time',
+            )
+        took_s = self._node.clock.now_s() - started_at_s
+        self._node.metrics.time(f'entry.{reply.kind.value}', took_s)
+        return create_response(
+            CallerOutcome(
+                request.request_id,
+                reply.kind,
+                _get_status(reply),
+                reply.reason,
+                reply.headers,
+                reply.body,
+                reply.retry_after_s,
+            ),
+        )
+
+    def _take_request(self, request: Request, replies: ReplyQueue) -> None:
+        reason = ''
+        if self._is_stopping:
+            reason = 'the entry is stopping'
+        elif not self._node.is_current:
+            reason = 'the configuration in force is not known yet'
+        if reason:
+            replies.put(
+                Reply(
+                    request.request_id,
+                    OutcomeKind.not_run,
+                    reason,
+                    retry_after_s=1,
+                ),
+            )
+            return
+        self._waiting[request.request_id] = replies
+        self._run(
+            routing.handle_request(
+                self.state,
+                request,
+                self._node.clock.now_s(),
+            ),
+        )
+
+    def _run(self, effects: list[Effect]) -> None:
+        for effect in effects:
+            match effect:
+                case Send():
+                    self._node.send(effect.peer, effect.message)
+                case Reply():
+                    replies = self._waiting.pop(effect.request_id, None)
+                    if replies is not None:
+                        replies.put(effect)
+                case ProposeOperation():
+                    self._propose(effect)
+                case Note():
+                    self._node.note(effect)
+
+    def _propose(self, effect: ProposeOperation) -> None:
+        request_id = effect.request_id
+        match effect.operation:
+            case ClaimRequest():
+                self._claims_open.add(request_id)
+                self._call(
+                    effect.operation,
+                    CLAIM_GIVE_UP_S,
+                    lambda reply: self._take_claim(effect, reply),
+                )
+            case _:
+                self._call(
+                    effect.operation,
+                    effect.timeout_s,
+                    lambda _reply: None,
+                )
+
+    def _call(
+        self,
+        operation: Operation,
+        timeout_s: float,
+        on_reply: CallHandler,
+    ) -> None:
+        self._sequence += 1
+        span = self._sequence // SESSION_SPAN
+        command = Command(
+            f'{self._node.settings.name}.{self._node.incarnation}.{span}',
+            self._sequence,
+            self._node.settings.name,
+            0,
+            operation,
+        )
+        self._node.call(
+            lambda call_id: Propose(call_id, command),
+            timeout_s,
+            on_reply,
+        )
+
+    def _take_claim(
+        self,
+        effect: ProposeOperation,
+        reply: CallReply | None,
+    ) -> None:
+        """Take the outcome of a claim, also one that came too late.
+
+        A claim granted after its request was refused is given back, so that
+        a caller who sends the request again is not told that it is under way.
+        """
+        request_id = effect.request_id
+        self._claims_open.discard(request_id)
+        outcome: Outcome | None = None
+        if isinstance(reply, Proposed):
+            outcome = reply.outcome
+        if request_id in self.state.pending:
+            self._run(
+                routing.handle_claim(
+                    self.state,
+                    request_id,
+                    outcome,
+                    self._node.clock.now_s(),
+                ),
+            )
+            return
+        operation = effect.operation
+        is_own = (
+            outcome is not None
+            and outcome.claim is not None
+            and outcome.claim.request_id == request_id
+        )
+        if is_own and isinstance(operation, ClaimRequest):
+            self._call(
+                SettleClaim(operation.claim_key, request_id, has_run=False),
+                SETTLE_TIMEOUT_S,
+                lambda _reply: None,
+            )
+
+    def handle(self, sender: str, message: Message) -> bool:
+        """Handle a message; false if it is not for this part."""
+        now_s = self._node.clock.now_s()
+        match message:
+            case Answer():
+                self._run(routing.handle_answer(self.state, message, now_s))
+            case GuardStatus():
+                self._run(
+                    routing.handle_guard_status(self.state, message, now_s),
+                )
+                self._node.compare_revision(sender, message.revision)
+                revision = self._node.configuration.revision
+                self._node.send(sender, EntryStatus(revision))
+            case Goodbye():
+                self._run(
+                    routing.handle_guard_gone(
+                        self.state,
+                        message.name,
+                        now_s,
+                    ),
+                )
+                return False
+            case TimelineReply():
+                self._admin.take_timeline(message)
+            case _:
+                return False
+        return True
+
+    def handle_route_changed(self, peer: str) -> None:
+        """Send what is open at a guard again over its new link."""
+        self._run(
+            routing.handle_route_changed(
+                self.state,
+                peer,
+                self._node.clock.now_s(),
+            ),
+        )
+
+    def tick(self, now_s: float) -> None:
+        """Let time pass: deadlines, withdrawals, silent guards."""
+        if now_s < self._tick_at_s:
+            return
+        self._tick_at_s = now_s + TICK_INTERVAL_S
+        self._run(routing.handle_tick(self.state, now_s))
+        self._admin.tick(now_s)
+
+    def take_configuration(self, configuration: Configuration) -> None:
+        """Take a newer configuration into force."""
+        self.state.configuration = configuration
+
+    def begin_stop(self) -> None:
+        """Refuse new requests as not run."""
+        self._is_stopping = True
+
+    def is_idle(self) -> bool:
+        """Return whether every caller has an answer and every claim an end."""
+        return not (self._waiting or self._node.calls.calls)
+
+    def close(self) -> None:
+        """Stop listening; the threads finish what they send."""
+        self._server.stop()
+
+
+def _get_status(reply: Reply) -> int:
+    if reply.kind is OutcomeKind.completed:
+        return reply.status
+    if reply.is_conflict:
+        return HTTPStatus.CONFLICT
+    if reply.kind is OutcomeKind.unknown:
+        return HTTPStatus.GATEWAY_TIMEOUT
+    if reply.is_over_quota:
+        return HTTPStatus.TOO_MANY_REQUESTS
+    return HTTPStatus.SERVICE_UNAVAILABLE
--- /dev/null
+++ b/cumintack/daemon/guard_part.py
@@ -0,0 +1,408 @@
+"""Role ``guard``: admission to one upstream and the tasks of its worker."""
+
+from http import HTTPStatus
+import concurrent.futures
+
+import msgspec
+import structlog
+from result import Err, Ok
+
+from cumintack.coordination import admission
+from cumintack.coordination.effects import Effect, HandOver, Note, Send
+from cumintack.coordination.slowdown import (
+    SlowdownMeter,
+    compute_slowdown,
+    take_served,
+)
+from cumintack.coordination.worker_tasks import (
+    WorkerTasks,
+    create_reports,
+    take_orders,
+    take_report,
+)
+from cumintack.daemon.node import Node
+from cumintack.daemon.settings import GuardSettings, get_worker_needs
+from cumintack.protocol.messages import (
+    EntryStatus,
+    Goodbye,
+    GuardStatus,
+    Message,
+    Poke,
+    WorkerOrders,
+    WorkerStatus,
+)
+from cumintack.protocol.worker_actions import WorkerAction
+from cumintack.state.configuration import Configuration
+from cumintack.state.errors import StepError, render_error
+from cumintack.state.requests import (
+    Answer,
+    Dispatch,
+    OutcomeKind,
+    Withdrawal,
+)
+from cumintack.state.workers import WorkerSpec
+from cumintack.transport.http_server import (
+    HttpRequest,
+    HttpResponse,
+    HttpServer,
+)
+from cumintack.transport.platform_edge import PlatformEdge, WorkerReport
+from cumintack.transport.upstream_edge import (
+    ANNOUNCE_PATH,
+    LEAVE_PATH,
+    Announcement,
+    UpstreamEdge,
+    create_error_response,
+    read_announcement,
+)
+
+STATUS_INTERVAL_S = 0.25
+ANNOUNCE_THREADS = 4
+MAX_ANNOUNCEMENT_BYTES = 4096
+TICK_INTERVAL_S = 0.005
+
+logger = structlog.get_logger()
+
+
+class GuardPart:
+    """The guard of one worker within a process."""
+
+    __slots__ = (
+        '_admission',
+        '_announced_until_s',
+        '_edge',
+        '_meter',
+        '_node',
+        '_platform',
+        '_platform_thread',
+        '_is_reporting',
+        '_report_at_s',
+        '_server',
+        '_settings',
+        '_status_at_s',
+        '_tasks',
+        '_tick_at_s',
+        '_worker_report',
+    )
+
+    def __init__(self, node: Node, settings: GuardSettings) -> None:
+        """Listen for announcements of the upstream."""
+        self._node = node
+        self._settings = settings
+        self._admission = admission.Admission(
+            admission.AdmissionSettings(
+                queue_per_slot=settings.queue_per_slot,
+                patience_s=settings.patience_ms / 1000,
+            ),
+            settings.worker,
+            node.incarnation,
+        )
+        self._edge: UpstreamEdge | None = None
+        self._meter = SlowdownMeter()
+        self._tasks = WorkerTasks(settings.worker)
+        self._announced_until_s = 0.0
+        self._status_at_s = 0.0
+        self._tick_at_s = 0.0
+        self._report_at_s = 0.0
+        self._is_reporting = False
+        self._worker_report: WorkerReport | None = None
+        self._platform: PlatformEdge | None = None
+        if settings.platform_address:
+            self._platform = PlatformEdge(
+                settings.platform_address,
+                node.clock,
+            )
+        self._platform_thread = concurrent.futures.ThreadPoolExecutor(1)
+        self._server = HttpServer(
+            settings.http_address,
+            self._serve,
+            ANNOUNCE_THREADS,
+            MAX_ANNOUNCEMENT_BYTES,
+        )
+        self._server.start()
+
+    def _serve(self, request: HttpRequest) -> HttpResponse:
+        if request.method != 'POST':
+            return create_error_response(
+                HTTPStatus.METHOD_NOT_ALLOWED, 'POST only'
+            )
+        if request.path == ANNOUNCE_PATH:
+            read = read_announcement(request, self._settings.max_slots)
+            if isinstance(read, str):
+                return create_error_response(HTTPStatus.BAD_REQUEST, read)
+            announcement = read
+            self._node.post(lambda: self._announce(announcement))
+            return HttpResponse(HTTPStatus.OK, b'{}')
+        if request.path == LEAVE_PATH:
+            self._node.post(self._leave)
+            return HttpResponse(HTTPStatus.OK, b'{}')
+        return create_error_response(HTTPStatus.NOT_FOUND, 'no such path')
+
+    def _announce(self, announcement: Announcement) -> None:
+        now_s = self._node.clock.now_s()
+        holds_s = self._settings.announcement_ms / 1000
+        state = self._admission
+        is_same = (
+            self._edge is not None
+            and self._edge.address == announcement.address
+            and state.slots == announcement.slots
+            and state.service == announcement.service
+        )
+        self._announced_until_s = now_s + holds_s
+        if is_same and not state.is_leaving:
+            return
+        if not is_same:
+            if self._edge is not None:
+                self._edge.close()
+            self._edge = UpstreamEdge(
+                announcement,
+                self._settings.worker,
+                self._settings.max_connections,
+                self._settings.max_answer_bytes,
+                self._node.clock,
+            )
+        admission.announce(state, announcement.service, announcement.slots)
+        self._node.note(
+            Note('guard.announced', state.worker, announcement.service),
+        )
+        logger.info('guard: upstream announced', service=announcement.service)
+        self._send_status(now_s)
+
+    def _leave(self) -> None:
+        now_s = self._node.clock.now_s()
+        if self._admission.is_leaving:
+            return
+        self._node.note(Note('guard.leaving', self._admission.worker))
+        logger.info('guard: upstream is leaving')
+        self._run(admission.leave(self._admission, now_s))
+        self._send_status(now_s)
+
+    def handle(self, sender: str, message: Message) -> bool:
+        """Handle a message; false if it is not for this part."""
+        now_s = self._node.clock.now_s()
+        state = self._admission
+        match message:
+            case Dispatch():
+                if not self._node.is_current:
+                    self._refuse_early(sender, message)
+                else:
+                    self._run(
+                        admission.handle_dispatch(
+                            state,
+                            sender,
+                            message,
+                            now_s,
+                        ),
+                    )
+            case Withdrawal():
+                self._run(
+                    admission.handle_withdrawal(state, sender, message, now_s),
+                )
+            case EntryStatus():
+                self._node.compare_revision(sender, message.revision)
+            case WorkerOrders():
+                actions = take_orders(self._tasks, message, now_s)
+                if actions:
+                    self._platform_thread.submit(self._perform, actions)
+            case Poke():
+                self._report_at_s = 0.0
+            case Goodbye():
+                return False
+            case _:
+                return False
+        return True
+
+    def _refuse_early(self, sender: str, message: Dispatch) -> None:
+        withdrawal = Withdrawal(
+            message.request.request_id,
+            message.attempt,
+            self._node.incarnation,
+        )
+        self._run(
+            admission.handle_withdrawal(
+                self._admission,
+                sender,
+                withdrawal,
+                self._node.clock.now_s(),
+            ),
+        )
+
+    def handle_route_changed(self, _peer: str) -> None:
+        """Show itself at once over a new link."""
+        self._status_at_s = 0.0
+
+    def _run(self, effects: list[Effect]) -> None:
+        for effect in effects:
+            match effect:
+                case Send():
+                    self._node.send(effect.peer, effect.message)
+                case HandOver():
+                    self._hand_over(effect)
+                case Note():
+                    self._node.note(effect)
+
+    def _hand_over(self, effect: HandOver) -> None:
+        if self._edge is None:
+            self._take_served(
+                Answer(
+                    effect.request.request_id,
+                    effect.attempt,
+                    self._settings.worker,
+                    OutcomeKind.not_run,
+                    'no upstream',
+                ),
+            )
+            return
+        self._edge.send(
+            effect.request,
+            effect.attempt,
+            effect.timeout_s,
+            lambda answer: self._node.post(lambda: self._take_served(answer)),
+        )
+
+    def _take_served(self, answer: Answer) -> None:
+        now_s = self._node.clock.now_s()
+        if answer.kind is OutcomeKind.completed:
+            take_served(self._meter, answer.served_s, now_s)
+            self._node.metrics.time('guard.served', answer.served_s)
+        self._run(admission.handle_served(self._admission, answer, now_s))
+
+    def tick(self, now_s: float) -> None:
+        """Let time pass: queues, heartbeats, the worker."""
+        if now_s < self._tick_at_s:
+            return
+        self._tick_at_s = now_s + TICK_INTERVAL_S
+        self._run(admission.handle_tick(self._admission, now_s))
+        state = self._admission
+        is_lapsed = now_s >= self._announced_until_s
+        if state.slots and not state.is_leaving and is_lapsed:
+            logger.warning('guard: announcement lapsed')
+            self._leave()
+        if now_s >= self._status_at_s:
+            self._send_status(now_s)
+        self._report_worker(now_s)
+
+    def _send_status(self, now_s: float) -> None:
+        self._status_at_s = now_s + STATUS_INTERVAL_S
+        state = self._admission
+        if not state.service:
+            return
+        status = GuardStatus(
+            state.worker,
+            state.incarnation,
+            self._node.settings.data_centre,
+            state.service,
+            state.slots,
+            admission.get_queue_limit(state),
+            state.busy,
+            state.queued,
+            state.is_leaving,
+            self._node.configuration.revision,
+        )
+        for entry in self._node.settings.entries:
+            self._node.send(entry.name, status)
+        metrics = self._node.metrics
+        metrics.gauge('guard.busy', state.busy)
+        metrics.gauge('guard.queued', state.queued)
+
+    def _report_worker(self, now_s: float) -> None:
+        if self._platform is None or self._is_reporting:
+            return
+        if now_s < self._report_at_s:
+            return
+        interval_s = self._settings.report_interval_ms / 1000
+        self._report_at_s = now_s + interval_s
+        self._is_reporting = True
+        self._platform_thread.submit(self._fetch_report, self._platform)
+
+    def _fetch_report(self, platform: PlatformEdge) -> None:
+        report = platform.fetch_report()
+        self._node.post(lambda: self._take_report(report))
+
+    def _take_report(
+        self,
+        report: Ok[WorkerReport] | Err[StepError],
+    ) -> None:
+        self._is_reporting = False
+        now_s = self._node.clock.now_s()
+        match report:
+            case Ok(found):
+                self._worker_report = found
+                take_report(self._tasks, found.attempts)
+                self._send_worker_status(found, now_s)
+            case Err(error):
+                self._node.metrics.count('guard.platform_failed')
+                logger.warning(
+                    'guard: worker not reached',
+                    error=render_error(error),
+                )
+
+    def _send_worker_status(self, report: WorkerReport, now_s: float) -> None:
+        leader = self._node.calls.leader
+        if not leader:
+            return
+        self._tasks.sent_at_s = now_s
+        self._tasks.is_answered = False
+        self._node.send(
+            leader,
+            WorkerStatus(
+                self._describe_worker(report.worker),
+                self._node.incarnation,
+                now_s,
+                create_reports(self._tasks),
+                tuple(self._tasks.held),
+                report.used,
+                compute_slowdown(self._meter, now_s),
+                is_reachable=True,
+            ),
+        )
+
+    def _describe_worker(self, spec: WorkerSpec) -> WorkerSpec:
+        state = self._admission
+        slots = 0 if state.is_leaving else state.slots
+        return msgspec.structs.replace(
+            spec,
+            name=self._settings.worker,
+            data_centre=self._node.settings.data_centre,
+            service_reserve=get_worker_needs(slots),
+        )
+
+    def _perform(self, actions: list[WorkerAction]) -> None:
+        platform = self._platform
+        if platform is None:
+            return
+        for action in actions:
+            error = platform.perform(action)
+            if error is not None:
+                logger.warning(
+                    'guard: worker refused',
+                    error=render_error(error),
+                )
+        self._node.post(self._hurry_report)
+
+    def _hurry_report(self) -> None:
+        self._report_at_s = min(
+            self._report_at_s,
+            self._node.clock.now_s() + STATUS_INTERVAL_S,
+        )
+
+    def take_configuration(self, configuration: Configuration) -> None:
+        """Do nothing yet with a configuration but report its revision."""
+        self._node.metrics.gauge('config.revision', configuration.revision)
+
+    def begin_stop(self) -> None:
+        """Refuse new work; what runs is finished."""
+        self._leave()
+
+    def is_idle(self) -> bool:
+        """Return whether nothing waits or runs."""
+        return admission.is_idle(self._admission)
+
+    def close(self) -> None:
+        """Close servers, threads and connections."""
+        self._server.stop()
+        self._platform_thread.shutdown(wait=True, cancel_futures=True)
+        if self._platform is not None:
+            self._platform.close()
+        if self._edge is not None:
+            self._edge.close()
--- /dev/null
+++ b/cumintack/daemon/node.py
@@ -0,0 +1,409 @@
+"""A process: one loop thread that owns every decision.
+
+HTTP threads and the threads that call upstreams hand closures to the loop
+and wait for what it answers. The parts of a process, one for each role, are
+called from the loop only.
+"""
+
+import collections
+import contextlib
+import secrets
+import socket
+from collections.abc import Callable
+from typing import Protocol
+
+import structlog
+
+from cumintack.coordination.calls import (
+    CallTable,
+    close_call,
+    get_next_id,
+    open_call,
+    redirect_call,
+    tick_calls,
+)
+from cumintack.coordination.effects import Note, Send
+from cumintack.daemon.settings import PeerSettings, Settings, get_roles
+from cumintack.protocol.codec import Envelope
+from cumintack.protocol.messages import (
+    ConfigurationPull,
+    ConfigurationPush,
+    Goodbye,
+    Message,
+    NodeStatus,
+    NodeStatusReply,
+    Proposed,
+    QueryReply,
+)
+from cumintack.protocol.timeline_messages import (
+    TimelineReply,
+    TimelineRequest,
+)
+from cumintack.state.configuration import (
+    Configuration,
+    compute_changed_since,
+    compute_merged,
+)
+from cumintack.state.errors import ErrorCode
+from cumintack.state.events import EventRing, get_events, record_event
+from cumintack.transport.clock import Clock, get_wall_ms
+from cumintack.transport.keys import LinkKeys
+from cumintack.transport.links import Links
+from cumintack.transport.metrics import Metrics
+
+LOOP_WAIT_S = 0.01
+STATUS_INTERVAL_S = 0.5
+FLUSH_INTERVAL_S = 1.0
+GOODBYE_LINGER_S = 0.5
+MAX_LOCAL_MESSAGES = 256
+WAKE_BYTES = 4096
+CURRENT_WITHOUT_LEADER_S = 3.0
+
+CallReply = Proposed | QueryReply
+CallHandler = Callable[[CallReply | None], None]
+logger = structlog.get_logger()
+
+
+class Part(Protocol):
+    """A role within a process."""
+
+    def handle(self, sender: str, message: Message) -> bool:
+        """Handle a message; false if it is not for this part."""
+
+    def tick(self, now_s: float) -> None:
+        """Let time pass."""
+
+    def take_configuration(self, configuration: Configuration) -> None:
+        """Take a newer configuration into force."""
+
+    def begin_stop(self) -> None:
+        """Refuse new work."""
+
+    def is_idle(self) -> bool:
+        """Return whether nothing is in flight."""
+
+    def close(self) -> None:
+        """Close what the part opened."""
+
+
+class Node:
+    """What the parts of a process share."""
+
+    __slots__ = (
+        '_handlers',
+        '_is_stopping',
+        '_is_waiting',
+        '_started_at_s',
+        '_local',
+        '_posted',
+        '_sent_counts',
+        '_status_at_s',
+        '_flush_at_s',
+        '_stop_deadline_s',
+        '_wake_reader',
+        '_wake_writer',
+        'calls',
+        'clock',
+        'configuration',
+        'incarnation',
+        'is_current',
+        'known_revision',
+        'links',
+        'metrics',
+        'parts',
+        'ring',
+        'settings',
+    )
+
+    def __init__(
+        self,
+        settings: Settings,
+        clock: Clock,
+        keys: LinkKeys | None,
+    ) -> None:
+        """Create the shared things; nothing listens before ``start``."""
+        self.settings = settings
+        self.clock = clock
+        self.incarnation = secrets.token_hex(6)
+        self.ring = EventRing(settings.name, settings.timeline_events)
+        self.links = Links(
+            settings.name,
+            self.incarnation,
+            clock,
+            self.ring,
+            keys,
+        )
+        statsd = settings.statsd
+        self.metrics = Metrics(
+            statsd.host,
+            statsd.port,
+            f'{statsd.prefix}.{settings.name}',
+        )
+        self.configuration = Configuration()
+        self.parts: list[Part] = []
+        names = [peer.name for peer in settings.control_replicas]
+        self.calls = CallTable(names)
+        self._handlers: dict[int, CallHandler] = {}
+        self._posted: collections.deque[Callable[[], None]] = (
+            collections.deque()
+        )
+        self._local: collections.deque[Message] = collections.deque()
+        sockets = socket.socketpair()
+        self._wake_reader = sockets[0]
+        self._wake_writer = sockets[1]
+        self._wake_reader.setblocking(False)
+        self._wake_writer.setblocking(False)
+        self._is_stopping = False
+        self._is_waiting = False
+        self._started_at_s = clock.now_s()
+        self.is_current = False
+        self.known_revision = 0
+        self._stop_deadline_s = 0.0
+        self._status_at_s = 0.0
+        self._flush_at_s = 0.0
+        self._sent_counts: dict[str, int] = {}
+
+    def start(self) -> None:
+        """Listen, and dial the peers that the settings name."""
+        self.links.listen(self.settings.link_address)
+        self.links.watch(self._wake_reader.fileno())
+        self.links.on_route_changed = self._handle_route_changed
+        for peer in self._list_dialled():
+            if peer.name != self.settings.name:
+                self.links.dial(peer.name, peer.address)
+
+    def _list_dialled(self) -> list[PeerSettings]:
+        peers = list(self.settings.control_replicas)
+        if self.settings.guard or self.settings.entry:
+            peers.extend(self.settings.entries)
+        return peers
+
+    def post(self, action: Callable[[], None]) -> None:
+        """Have the loop thread run an action; called by any thread."""
+        self._posted.append(action)
+        if self._is_waiting:
+            with contextlib.suppress(BlockingIOError):
+                self._wake_writer.send(b'\0')
+
+    def send(self, peer: str, message: Message) -> bool:
+        """Send a message, also to a part of this same process."""
+        if peer == self.settings.name:
+            self._local.append(message)
+            return True
+        return self.links.send(peer, message)
+
+    def send_all(self, sends: list[Send]) -> None:
+        """Send messages in order."""
+        for send in sends:
+            self.send(send.peer, send.message)
+
+    def note(self, note: Note) -> None:
+        """Record an event of the time line and count it."""
+        record_event(
+            self.ring,
+            get_wall_ms(self.clock),
+            note.name,
+            note.subject,
+            note.detail,
+        )
+        self.metrics.count(note.name)
+
+    def call(
+        self,
+        create: Callable[[int], Message],
+        timeout_s: float,
+        on_reply: CallHandler,
+    ) -> None:
+        """Call the leader of the control group.
+
+        Args:
+            create: Makes the message for a call number.
+            timeout_s: When to give up.
+            on_reply: Called once, with None after the timeout.
+        """
+        call_id = get_next_id(self.calls)
+        self._handlers[call_id] = on_reply
+        now_s = self.clock.now_s()
+        message = create(call_id)
+        self.send_all(
+            open_call(self.calls, call_id, message, timeout_s, now_s),
+        )
+
+    def begin_stop(self) -> None:
+        """Refuse new work and stop once nothing is in flight."""
+        if self._is_stopping:
+            return
+        logger.info('node: stopping')
+        self._is_stopping = True
+        timeout_s = self.settings.drain_timeout_ms / 1000
+        self._stop_deadline_s = self.clock.now_s() + timeout_s
+        for part in self.parts:
+            part.begin_stop()
+
+    def run(self) -> None:
+        """Run the loop until the process has stopped in good order."""
+        while not self._is_done():
+            self._run_once()
+        for part in self.parts:
+            part.close()
+        for peer in self.links.get_peers():
+            self.links.send(peer, Goodbye(self.settings.name))
+        self.metrics.flush(self._sent_counts)
+        self.links.close(GOODBYE_LINGER_S)
+        logger.info('node: stopped')
+
+    def _is_done(self) -> bool:
+        if not self._is_stopping:
+            return False
+        if self.clock.now_s() >= self._stop_deadline_s:
+            logger.error('node: stopped with work in flight')
+            return True
+        return not self._posted and all(part.is_idle() for part in self.parts)
+
+    def _run_once(self) -> None:
+        self._is_waiting = True
+        has_work = self._posted or self._local
+        wait_s = 0 if has_work else LOOP_WAIT_S
+        is_woken = self.links.receive(wait_s, self._receive)
+        self._is_waiting = False
+        if is_woken:
+            with contextlib.suppress(BlockingIOError):
+                self._wake_reader.recv(WAKE_BYTES)
+        posted = len(self._posted)
+        for _ in range(posted):
+            self._posted.popleft()()
+        now_s = self.clock.now_s()
+        self._tick(now_s)
+        for part in self.parts:
+            part.tick(now_s)
+        for _ in range(min(len(self._local), MAX_LOCAL_MESSAGES)):
+            self._handle(self.settings.name, self._local.popleft())
+
+    def _receive(self, envelope: Envelope) -> None:
+        self._handle(envelope.sender, envelope.message)
+
+    def _handle(self, sender: str, message: Message) -> None:
+        match message:
+            case Proposed() | QueryReply():
+                self._handle_reply(sender, message)
+            case ConfigurationPush():
+                self._handle_push(message)
+            case ConfigurationPull():
+                self._handle_pull(sender, message)
+            case NodeStatusReply():
+                self._handle_status_reply(sender, message)
+            case TimelineRequest():
+                events = get_events(self.ring, message.subject, message.limit)
+                self.send(
+                    sender,
+                    TimelineReply(
+                        message.call_id,
+                        self.settings.name,
+                        tuple(events),
+                    ),
+                )
+            case _:
+                for part in self.parts:
+                    if part.handle(sender, message):
+                        return
+
+    def _handle_reply(self, sender: str, message: CallReply) -> None:
+        now_s = self.clock.now_s()
+        error = message.error
+        if error is not None and error.code in {
+            ErrorCode.not_leader,
+            ErrorCode.unavailable,
+        }:
+            redirect_call(self.calls, message.call_id, message.leader, now_s)
+            return
+        if close_call(self.calls, message.call_id, sender) is None:
+            return
+        self._handlers.pop(message.call_id)(message)
+
+    def _handle_status_reply(
+        self,
+        sender: str,
+        message: NodeStatusReply,
+    ) -> None:
+        if message.is_leader:
+            self.calls.leader = sender
+        elif message.leader:
+            self.calls.leader = message.leader
+        self.compare_revision(sender, message.revision)
+        if message.is_leader and not self.is_current:
+            self.is_current = message.revision <= self.configuration.revision
+
+    def compare_revision(self, peer: str, revision: int) -> None:
+        """Pull the configuration if a peer has a later one."""
+        self.known_revision = max(self.known_revision, revision)
+        if revision > self.configuration.revision:
+            self.send(peer, ConfigurationPull(self.configuration.revision))
+
+    def _handle_pull(self, sender: str, message: ConfigurationPull) -> None:
+        if self.configuration.revision > message.revision:
+            changed = compute_changed_since(
+                self.configuration,
+                message.revision,
+            )
+            self.send(sender, ConfigurationPush(message.revision, changed))
+
+    def _handle_push(self, message: ConfigurationPush) -> None:
+        own = self.configuration
+        if own.revision >= message.base_revision:
+            self.take_configuration(compute_merged(own, message.changed))
+
+    def _judge_current(self, now_s: float) -> None:
+        waited_s = now_s - self._started_at_s
+        if waited_s < CURRENT_WITHOUT_LEADER_S:
+            return
+        if self.configuration.revision >= self.known_revision:
+            logger.warning('node: no leader, using the latest known revision')
+            self.is_current = True
+
+    def take_configuration(self, configuration: Configuration) -> None:
+        """Take a configuration into force unless it is older."""
+        if configuration.revision <= self.configuration.revision:
+            return
+        self.configuration = configuration
+        self.note(
+            Note('config.in_force', f'config/{configuration.revision}'),
+        )
+        for part in self.parts:
+            part.take_configuration(configuration)
+
+    def _handle_route_changed(self, peer: str) -> None:
+        for part in self.parts:
+            changed = getattr(part, 'handle_route_changed', None)
+            if changed is not None:
+                changed(peer)
+
+    def _tick(self, now_s: float) -> None:
+        self.links.probe()
+        if not self.is_current:
+            self._judge_current(now_s)
+        due = tick_calls(self.calls, now_s)
+        self.send_all(due.sends)
+        for call_id in due.expired:
+            self._handlers.pop(call_id)(None)
+        if now_s >= self._status_at_s:
+            self._status_at_s = now_s + STATUS_INTERVAL_S
+            self._send_status()
+        if now_s >= self._flush_at_s:
+            self._flush_at_s = now_s + FLUSH_INTERVAL_S
+            self.metrics.flush(self._sent_counts)
+
+    def _send_status(self) -> None:
+        settings = self.settings
+        status = NodeStatus(
+            settings.name,
+            get_roles(settings),
+            settings.data_centre,
+            self.configuration.revision,
+        )
+        leader = self.calls.leader
+        targets = [leader] if leader else self.calls.replicas
+        for target in targets:
+            if not self.send(target, status) and target == leader:
+                self.calls.leader = ''
+        if leader and self.links.get_quiet_s(leader) > STATUS_INTERVAL_S * 2:
+            self.calls.leader = ''
--- /dev/null
+++ b/cumintack/daemon/settings.py
@@ -0,0 +1,375 @@
+"""Settings of a process: one YAML file, checked as a whole before a start.
+
+Every problem is one line with the file and the path of the key, because a
+daemon that starts on half-understood settings fails later and elsewhere.
+"""
+
+import pathlib
+from typing import Any, TypeVar
+
+import msgspec
+import yaml
+from result import Err, Ok, Result
+
+from cumintack.state.resources import Resources
+
+MAX_PORT = 65535
+MAX_NAME = 64
+MIN_TOKEN = 16
+ROLE_NAMES = ('control', 'entry', 'guard')
+TOKEN_ROLES = ('reader', 'operator', 'administrator')
+
+Section = TypeVar('Section', bound=msgspec.Struct)
+
+
+class PeerSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A process that this one dials.
+
+    Attributes:
+        name: Its name.
+        address: Its link address as ``host:port``.
+    """
+
+    name: str
+    address: str
+
+
+class ControlSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Role ``control``: a replica with a disk.
+
+    Attributes:
+        data_folder: Where its files live.
+        heartbeat_ms: Interval of the heartbeats of a leader.
+        election_timeout_ms: Shortest silence before an election.
+        snapshot_every: Log entries between two snapshots.
+        lease_ms: Length of the lease of a task.
+        pass_interval_ms: Shortest time between two scheduler passes.
+    """
+
+    data_folder: str
+    heartbeat_ms: int = 100
+    election_timeout_ms: int = 600
+    snapshot_every: int = 20000
+    lease_ms: int = 10000
+    pass_interval_ms: int = 20
+
+
+class EntrySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Role ``entry``: HTTP for callers and operators.
+
+    Attributes:
+        http_address: Where it listens, as ``host:port``.
+        threads: Requests in flight at once.
+        max_body_bytes: Largest request body.
+        max_timeout_ms: Longest timeout that a caller may ask for.
+    """
+
+    http_address: str
+    threads: int = 192
+    max_body_bytes: int = 1048576
+    max_timeout_ms: int = 600000
+
+
+class GuardSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Role ``guard``: beside one upstream and its worker.
+
+    Attributes:
+        worker: Name of the worker, unique over the deployment.
+        http_address: Where the upstream announces itself.
+        platform_address: The platform's agent of the worker, or empty.
+        max_slots: Most slots that an upstream may announce.
+        max_connections: Connections to the upstream.
+        queue_per_slot: Requests kept waiting, as a multiple of the slots.
+        patience_ms: How long past its deadline an attempt keeps its slot.
+        max_answer_bytes: Largest answer of the upstream.
+        announcement_ms: How long an announcement holds without a repeat.
+        report_interval_ms: Interval of the worker heartbeats.
+    """
+
+    worker: str
+    http_address: str
+    platform_address: str = ''
+    max_slots: int = 8
+    max_connections: int = 64
+    queue_per_slot: float = 1.0
+    patience_ms: int = 30000
+    max_answer_bytes: int = 8388608
+    announcement_ms: int = 3000
+    report_interval_ms: int = 500
+
+
+class TokenSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A bearer token of the administration API.
+
+    Attributes:
+        token: The secret, at least 16 characters.
+        name: Who uses it, for the history.
+        role: ``reader``, ``operator`` or ``administrator``.
+        team: The team whose jobs it may submit; empty for all.
+    """
+
+    token: str
+    name: str
+    role: str
+    team: str = ''
+
+
+class AdminSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The administration API.
+
+    Attributes:
+        is_loopback_open: Whether loopback needs no token.
+        tokens: The tokens.
+    """
+
+    is_loopback_open: bool = False
+    tokens: tuple[TokenSettings, ...] = ()
+
+
+class StatsdSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Where metrics go; an empty host sends none."""
+
+    host: str = ''
+    port: int = 8125
+    prefix: str = 'cumintack'
+
+
+class LogSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Logs: the least level, and a file for events, or empty."""
+
+    level: str = 'info'
+    events_file: str = ''
+
+
+class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Settings of one process.
+
+    Attributes:
+        name: Name of the process, unique over the deployment.
+        data_centre: Where it stands.
+        link_address: Where its links listen, as ``host:port``.
+        control_replicas: The replicas of the control group.
+        entries: The entries.
+        control: Set for role control.
+        entry: Set for role entry.
+        guard: Set for role guard.
+        admin: The administration API.
+        statsd: Where metrics go.
+        log: Logs.
+        keys_file: Secret key of the deployment; empty for open links.
+        drain_timeout_ms: Longest wait for requests in flight at a stop.
+        timeline_events: Events kept in memory.
+    """
+
+    name: str
+    data_centre: str
+    link_address: str
+    control_replicas: tuple[PeerSettings, ...] = ()
+    entries: tuple[PeerSettings, ...] = ()
+    control: ControlSettings | None = None
+    entry: EntrySettings | None = None
+    guard: GuardSettings | None = None
+    admin: AdminSettings = AdminSettings()
+    statsd: StatsdSettings = StatsdSettings()
+    log: LogSettings = LogSettings()
+    keys_file: str = ''
+    drain_timeout_ms: int = 60000
+    timeline_events: int = 20000
+
+
+def get_roles(settings: Settings) -> tuple[str, ...]:
+    """Get the roles of a process.
+
+    Args:
+        settings: Its settings.
+
+    Returns:
+        The names of the roles that are set.
+    """
+    return tuple(role for role in ROLE_NAMES if getattr(settings, role))
+
+
+def get_worker_needs(service_slots: int) -> Resources:
+    """Get the room kept for a service.
+
+    Args:
+        service_slots: Slots of the upstream.
+
+    Returns:
+        One core and one GB for each slot.
+    """
+    return Resources(service_slots * 1000, service_slots * 1024)
+
+
+def load_settings(path: pathlib.Path) -> Result[Settings, list[str]]:
+    """Load settings and check all of them.
+
+    Args:
+        path: The YAML file.
+
+    Returns:
+        The settings, or one line for each problem.
+    """
+    try:
+        text = path.read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as error:
+        return Err([f'{path}: {error}'])
+    return parse_settings(text, str(path))
+
+
+def parse_settings(text: str, source: str) -> Result[Settings, list[str]]:
+    """Parse settings and check all of them.
+
+    Args:
+        text: The YAML text.
+        source: Name of the file, for messages.
+
+    Returns:
+        The settings, or one line for each problem.
+    """
+    try:
+        raw = yaml.safe_load(text)
+    except (yaml.YAMLError, RecursionError, ValueError) as error:
+        flat = ' '.join(str(error).split())
+        return Err([f'{source}: {flat}'])
+    if not isinstance(raw, dict):
+        return Err([f'{source}: expected keys and settings'])
+    problems = _find_shape_problems(raw, source)
+    if problems:
+        return Err(problems)
+    settings = msgspec.convert(raw, Settings)
+    problems = [
+        f'{source}: {problem}'
+        for check in SETTINGS_CHECKS
+        for problem in check(settings)
+    ]
+    return Err(problems) if problems else Ok(settings)
+
+
+def _find_shape_problems(raw: dict[Any, Any], source: str) -> list[str]:
+    problems = []
+    fields = {field.name: field for field in msgspec.structs.fields(Settings)}
+    for key in raw:
+        if key not in fields:
+            problems.append(f'{source}: {key}: unknown key')
+    for name, field in fields.items():
+        if name not in raw:
+            if field.required:
+                problems.append(f'{source}: {name}: missing')
+            continue
+        try:
+            msgspec.convert(raw[name], field.type)
+        except msgspec.ValidationError as error:
+            problems.append(f'{source}: {_place_problem(name, str(error))}')
+    return problems
+
+
+def _place_problem(name: str, message: str) -> str:
+    detail, _, place = message.partition(' - at `$')
+    path = place.rstrip('`')
+    return f'{name}{path}: {detail}'
+
+
+def _check_name(settings: Settings) -> list[str]:
+    problems = []
+    for key in ('name', 'data_centre'):
+        text = getattr(settings, key)
+        if (
+            not text
+            or len(text) > MAX_NAME
+            or not text.replace('-', '').isalnum()
+        ):
+            problems.append(
+                f'{key}: letters, digits and hyphens only, 1 to 64 of them',
+            )
+    return problems
+
+
+def _check_roles(settings: Settings) -> list[str]:
+    roles = get_roles(settings)
+    problems = []
+    if not roles:
+        problems.append('control, entry, guard: at least one is needed')
+    if not settings.control_replicas:
+        problems.append('control_replicas: at least one is needed')
+    names = [peer.name for peer in settings.control_replicas]
+    if 'control' in roles and settings.name not in names:
+        problems.append(
+            f'control_replicas: {settings.name!r} has the role, '
+            'but is not listed',
+        )
+    if len(set(names)) != len(names):
+        problems.append('control_replicas: a name stands twice')
+    if settings.guard and settings.guard.worker != settings.name:
+        problems.append('guard.worker: must be the name of the process')
+    return problems
+
+
+def _check_address(key: str, address: str) -> list[str]:
+    host, _, port = address.rpartition(':')
+    is_number = port.isdigit() and 0 < int(port) <= MAX_PORT
+    if host and is_number:
+        return []
+    return [f'{key}: {address!r} is not host:port']
+
+
+def _check_addresses(settings: Settings) -> list[str]:
+    problems = _check_address('link_address', settings.link_address)
+    for index, peer in enumerate(settings.control_replicas):
+        key = f'control_replicas[{index}].address'
+        problems.extend(_check_address(key, peer.address))
+    for index, peer in enumerate(settings.entries):
+        problems.extend(
+            _check_address(f'entries[{index}].address', peer.address)
+        )
+    if settings.entry:
+        problems.extend(
+            _check_address('entry.http_address', settings.entry.http_address),
+        )
+    if settings.guard:
+        problems.extend(
+            _check_address('guard.http_address', settings.guard.http_address),
+        )
+        platform = settings.guard.platform_address
+        if platform:
+            problems.extend(_check_address('guard.platform_address', platform))
+    return problems
+
+
+def _check_durations(settings: Settings) -> list[str]:
+    problems = []
+    for role in ROLE_NAMES:
+        section = getattr(settings, role)
+        if section is None:
+            continue
+        for name in section.__struct_fields__:
+            number = getattr(section, name)
+            is_number = isinstance(number, (int, float))
+            if is_number and number <= 0:
+                problems.append(f'{role}.{name}: must be over 0')
+    control = settings.control
+    if control and control.election_timeout_ms < control.heartbeat_ms * 3:
+        problems.append(
+            'control.election_timeout_ms: must be 3 heartbeats or more',
+        )
+    return problems
+
+
+def _check_tokens(settings: Settings) -> list[str]:
+    problems = []
+    for index, token in enumerate(settings.admin.tokens):
+        place = f'admin.tokens[{index}]'
+        if len(token.token) < MIN_TOKEN:
+            problems.append(f'{place}.token: 16 characters or more')
+        if token.role not in TOKEN_ROLES:
+            problems.append(f'{place}.role: one of {", ".join(TOKEN_ROLES)}')
+    return problems
+
+
+SETTINGS_CHECKS = (
+    _check_name,
+    _check_roles,
+    _check_addresses,
+    _check_durations,
+    _check_tokens,
+)
--- /dev/null
+++ b/cumintack/daemon/settings_test.py
@@ -0,0 +1,50 @@
+"""Settings: every problem is one line with the path of its key."""
+
+import pytest
+from result import Err, Ok
+from syrupy.assertion import SnapshotAssertion
+
+from cumintack.daemon.settings import get_roles, parse_settings
+
+BASE = """
+name: entry-1
+data_centre: north-yard
+link_address: 127.0.0.1:7100
+"""
+REPLICAS = """
+control_replicas:
+  - {name: control-1, address: "127.0.0.1:7000"}
+"""
+ENTRY = 'entry: {http_address: "127.0.0.1:8080"}'
+GOOD = f'{BASE}{REPLICAS}{ENTRY}\n'
+
+BAD = (
+    f'{BASE}{REPLICAS}entry: {{http_address: 8080}}',
+    f'{BASE}{REPLICAS}entry: {{http_address: "nowhere"}}',
+    f'{BASE}{REPLICAS}entry: {{http_address: "127.0.0.1:1", threads: -4}}',
+    f'{BASE}{REPLICAS}entry: {{http_address: "127.0.0.1:1", threads: many}}',
+    f'{BASE}{REPLICAS}',
+    f'{BASE}{ENTRY}\ncontrol_replicas: []',
+    f'{GOOD}colour: red',
+    f'{GOOD}control: {{data_folder: data}}',
+    f'{GOOD}guard: {{worker: other, http_address: "127.0.0.1:1"}}',
+    f'{GOOD}admin: {{tokens: [{{token: short, name: a, role: king}}]}}',
+    f'{REPLICAS}{ENTRY}',
+    f'{GOOD}name: [',
+    '- a',
+)
+
+
+def test_good_settings() -> None:
+    """Good settings are typed and have roles."""
+    parsed = parse_settings(GOOD, 'good.yaml')
+    assert isinstance(parsed, Ok)
+    assert get_roles(parsed.ok_value) == ('entry',)
+
+
+@pytest.mark.parametrize('text', BAD)
+def test_bad_settings(text: str, snapshot: SnapshotAssertion) -> None:
+    """Bad settings are refused with one line for each problem."""
+    parsed = parse_settings(text, 'bad.yaml')
+    assert isinstance(parsed, Err)
+    assert parsed.err_value == snapshot
--- /dev/null
+++ b/cumintack/demo/__main__.py
@@ -0,0 +1,242 @@
+"""The demonstration: the main job in one process, on embedded defaults.
+
+It exits with 0 only if everything that the table says really happened.
+"""
+
+import pathlib
+import sys
+import tempfile
+import threading
+import time
+
+import click
+import msgspec
+from result import Err, Ok
+
+from cumintack.cli.api import Api, Applied
+from cumintack.cli.rendering import render_rows
+from cumintack.coordination.querying import Rows
+from cumintack.daemon.assembly import create_node
+from cumintack.daemon.logs import configure_logs
+from cumintack.daemon.node import Node
+from cumintack.daemon.settings import (
+    AdminSettings,
+    ControlSettings,
+    EntrySettings,
+    GuardSettings,
+    PeerSettings,
+    Settings,
+)
+from cumintack.demo.sample_upstream import Behaviour, SampleUpstream
+from cumintack.demo.sample_worker import SampleWorker
+from cumintack.state.resources import Resources
+from cumintack.state.workers import WorkerSpec
+from cumintack.transport.clock import SystemClock
+from cumintack.transport.http_client import HttpClient
+from cumintack.transport.http_server import find_free_port
+
+NAME = 'demo-1'
+DATA_CENTRE = 'north-yard'
+SERVICE = 'rounds-desk'
+QUOTE_COUNT = 200
+TASK_COUNT = 6
+SLOTS = 8
+WAIT_S = 20.0
+POLL_S = 0.05
+TIMEOUT_S = 5.0
+WORK_MS = 2.0
+ENTRY_THREADS = 16
+WORKER_CORES_MILLI = 32000
+WORKER_MEMORY_MB = 128000
+MAX_ANSWER_BYTES = 65536
+
+
+class Check(msgspec.Struct, frozen=True):
+    """One line of the closing table."""
+
+    name: str
+    seen: str
+    is_good: bool
+
+
+class Demo:
+    """The process and the stand-ins around it."""
+
+    __slots__ = (
+        '_thread',
+        'api',
+        'entry_address',
+        'node',
+        'upstream',
+        'worker',
+    )
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        """Start everything on loopback."""
+        link, entry, guard = (find_free_port() for _ in range(3))
+        self.entry_address = f'127.0.0.1:{entry}'
+        guard_address = f'127.0.0.1:{guard}'
+        self.worker = SampleWorker(
+            '127.0.0.1:0',
+            WorkerSpec(
+                NAME,
+                DATA_CENTRE,
+                'rack-1',
+                Resources(WORKER_CORES_MILLI, WORKER_MEMORY_MB),
+            ),
+        )
+        self.worker.start()
+        peer = PeerSettings(NAME, f'127.0.0.1:{link}')
+        settings = Settings(
+            NAME,
+            DATA_CENTRE,
+            peer.address,
+            (peer,),
+            (peer,),
+            ControlSettings(str(folder)),
+            EntrySettings(self.entry_address, threads=ENTRY_THREADS),
+            GuardSettings(NAME, guard_address, self.worker.get_address()),
+            AdminSettings(is_loopback_open=True),
+        )
+        self.node: Node = create_node(
+            settings,
+            SystemClock(),
+            is_bootstrap=True,
+        )
+        self._thread = threading.Thread(target=self.node.run)
+        self._thread.start()
+        self.upstream = SampleUpstream(
+            '127.0.0.1:0',
+            guard_address,
+            SERVICE,
+            SLOTS,
+            Behaviour(work_ms=WORK_MS),
+        )
+        self.upstream.start()
+        self.api = Api((self.entry_address,), '')
+
+    def stop(self) -> bool:
+        """Stop in good order; true if that worked in time."""
+        self.node.post(self.node.begin_stop)
+        self._thread.join(timeout=WAIT_S)
+        self.upstream.stop()
+        self.worker.stop()
+        return not self._thread.is_alive()
+
+    def run(self, text: str) -> Rows | Applied | None:
+        """Carry out a statement; None if it failed."""
+        match self.api.execute(text):
+            case Ok(outcome):
+                return outcome
+            case Err(_):
+                return None
+
+    def wait_for(self, text: str) -> Rows | None:
+        """Repeat a query until it has rows."""
+        deadline_s = time.monotonic() + WAIT_S
+        while time.monotonic() < deadline_s:
+            found = self.run(text)
+            if isinstance(found, Rows) and found.rows:
+                return found
+            time.sleep(POLL_S)
+        return None
+
+
+def send_quotes(demo: Demo, completed: list[int]) -> None:
+    """Send quote checks one after the other and count the whole answers."""
+    client = HttpClient(demo.entry_address, 1, MAX_ANSWER_BYTES)
+    for number in range(QUOTE_COUNT):
+        path = f'/services/{SERVICE}/quotes?id=q{number}'
+        sent = client.send('GET', path, {}, b'', TIMEOUT_S)
+        expected = b'{"answer_to":"q%d"}' % number
+        if isinstance(sent, Ok) and sent.ok_value.body == expected:
+            completed.append(number)
+    client.close()
+
+
+def run_checks(demo: Demo) -> list[Check]:
+    """Do the main job and look at what came of it."""
+    open_rows = demo.wait_for('select * from upstreams where is_open = true')
+    worker_rows = demo.wait_for('select * from workers')
+    checks = [
+        Check('upstream announced itself', SERVICE, open_rows is not None),
+        Check('worker registered', NAME, worker_rows is not None),
+    ]
+    demo.run('team insurer cores_milli = 64000 memory_mb = 64000')
+    submitted = demo.run(
+        f'submit invoicing for insurer tasks = {TASK_COUNT} '
+        'cores_milli = 2000 memory_mb = 1024 idempotent = false '
+        'payload = "run_ms=600"',
+    )
+    completed: list[int] = []
+    quotes = threading.Thread(target=send_quotes, args=(demo, completed))
+    quotes.start()
+    running = demo.wait_for('select * from tasks where status = running')
+    if running is not None:
+        click.echo(render_rows(running, 'table'))
+    finished = demo.wait_for('select * from jobs where status = completed')
+    quotes.join()
+    for table in ('jobs', 'workers', 'upstreams'):
+        rows = demo.run(f'select * from {table}')
+        if isinstance(rows, Rows):
+            click.echo(render_rows(rows, 'table'))
+    checks.append(
+        Check('job accepted', str(submitted), isinstance(submitted, Applied)),
+    )
+    checks.append(
+        Check('tasks seen running', 'yes', running is not None),
+    )
+    checks.extend(check_ledgers(demo, len(completed)))
+    checks.append(Check('job completed', 'yes', finished is not None))
+    return checks
+
+
+def check_ledgers(demo: Demo, completed_count: int) -> list[Check]:
+    """Compare what was answered with what the stand-ins really did."""
+    ledger = demo.worker.get_ledger()
+    runs = demo.upstream.get_ledger()
+    once = sum(1 for count in ledger.completed.values() if count == 1)
+    return [
+        Check(
+            'quote checks answered whole',
+            f'{completed_count} of {QUOTE_COUNT}',
+            completed_count == QUOTE_COUNT,
+        ),
+        Check(
+            'quote checks run twice',
+            str(runs.doubled),
+            runs.doubled == 0 and len(runs.runs) == QUOTE_COUNT,
+        ),
+        Check(
+            'tasks completed exactly once',
+            f'{once} of {TASK_COUNT}',
+            once == TASK_COUNT == len(ledger.completed),
+        ),
+        Check(
+            'worker overfull',
+            str(ledger.overfull),
+            ledger.overfull == 0,
+        ),
+    ]
+
+
+def main() -> None:
+    """Run the demonstration."""
+    configure_logs('warning')
+    with tempfile.TemporaryDirectory() as folder:
+        demo = Demo(pathlib.Path(folder))
+        checks = run_checks(demo)
+        is_stopped = demo.stop()
+    checks.append(
+        Check('stopped in good order', str(is_stopped), is_stopped),
+    )
+    rows = tuple(
+        (check.name, check.seen, 'ok' if check.is_good else 'FAILED')
+        for check in checks
+    )
+    click.echo(render_rows(Rows(('what', 'seen', 'verdict'), rows), 'table'))
+    sys.exit(0 if all(check.is_good for check in checks) else 1)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/cumintack/demo/demo_test.py
@@ -0,0 +1,13 @@
+"""The demonstration does its main job."""
+
+import pathlib
+
+from cumintack.demo.__main__ import Demo, run_checks
+
+
+def test_main_job(tmp_path: pathlib.Path) -> None:
+    """Quote checks are answered and every task completes once."""
+    demo = Demo(tmp_path)
+    checks = run_checks(demo)
+    assert demo.stop()
+    assert [check for check in checks if not check.is_good] == []
--- /dev/null
+++ b/cumintack/demo/sample_upstream.py
@@ -0,0 +1,231 @@
+"""A stand-in for an upstream: answers after a while and counts executions.
+
+It keeps its own ledger of what it really ran, which is the oracle for the
+promises about requests: nothing that was refused as not run may be in it.
+"""
+
+from http import HTTPStatus
+import collections
+import random
+import signal
+import threading
+import time
+import urllib.parse
+
+import click
+import msgspec
+
+from cumintack.transport.http_client import HttpClient
+from cumintack.transport.http_server import (
+    HttpRequest,
+    HttpResponse,
+    HttpServer,
+)
+from cumintack.transport.upstream_edge import (
+    ANNOUNCE_PATH,
+    LEAVE_PATH,
+    Announcement,
+    LeaveNotice,
+)
+
+ANNOUNCE_INTERVAL_S = 0.5
+EXTRA_THREADS = 4
+MAX_BODY_BYTES = 1048576
+MAX_ANSWER_BYTES = 65536
+HANG_CHECK_S = 0.05
+DEFAULT_WORK_MS = 5.0
+JSON_HEADERS = {'Content-Type': 'application/json'}
+
+
+class Behaviour(msgspec.Struct, frozen=True):
+    """How the stand-in behaves.
+
+    Attributes:
+        work_ms: Mean time of one request.
+        spread: Share of the time that varies at random.
+        factor: Multiplies the time; 10 for ten times slower.
+        is_hung: Whether it takes requests and never answers.
+        is_short: Whether it answers fewer bytes than it declares.
+    """
+
+    work_ms: float = 5.0
+    spread: float = 0.5
+    factor: float = 1.0
+    is_hung: bool = False
+    is_short: bool = False
+
+
+class Ledger(msgspec.Struct, frozen=True):
+    """What the stand-in really ran.
+
+    Attributes:
+        total: Executions.
+        doubled: Requests that ran more than once here.
+        most_at_once: Most executions at the same time.
+        runs: Executions by identity of the request.
+    """
+
+    total: int
+    doubled: int
+    most_at_once: int
+    runs: dict[str, int]
+
+
+class SampleUpstream:
+    """The stand-in: a server, a ledger and an announcer."""
+
+    __slots__ = (
+        '_at_once',
+        '_behaviour',
+        '_generator',
+        '_lock',
+        '_most_at_once',
+        '_runs',
+        '_server',
+        '_service',
+        '_slots',
+        '_stopped',
+        '_thread',
+        'guard_address',
+    )
+
+    def __init__(
+        self,
+        address: str,
+        guard_address: str,
+        service: str,
+        slots: int,
+        behaviour: Behaviour,
+    ) -> None:
+        """Serve at ``address``, announced to the guard if there is one."""
+        self.guard_address = guard_address
+        self._service = service
+        self._slots = slots
+        self._behaviour = behaviour
+        self._generator = random.Random(1)
+        self._lock = threading.Lock()
+        self._runs: collections.Counter[str] = collections.Counter()
+        self._at_once = 0
+        self._most_at_once = 0
+        self._stopped = threading.Event()
+        self._server = HttpServer(
+            address,
+            self._serve,
+            slots + EXTRA_THREADS,
+            MAX_BODY_BYTES,
+        )
+        self._thread = threading.Thread(target=self._announce, daemon=True)
+
+    def start(self) -> None:
+        """Serve and announce."""
+        self._server.start()
+        if self.guard_address:
+            self._thread.start()
+
+    def get_address(self) -> str:
+        """Return the address that it listens on."""
+        return f'127.0.0.1:{self._server.get_port()}'
+
+    def get_ledger(self) -> Ledger:
+        """Return what it really ran."""
+        with self._lock:
+            runs = dict(self._runs)
+            most_at_once = self._most_at_once
+        doubled = sum(1 for count in runs.values() if count > 1)
+        return Ledger(sum(runs.values()), doubled, most_at_once, runs)
+
+    def stop(self) -> None:
+        """Say goodbye to the guard and stop."""
+        self._stopped.set()
+        if self.guard_address:
+            self._thread.join(timeout=1)
+            self._post(LEAVE_PATH, LeaveNotice(self._service))
+        self._server.stop()
+
+    def _post(self, path: str, body: msgspec.Struct) -> None:
+        client = HttpClient(self.guard_address, 1, MAX_ANSWER_BYTES)
+        client.send('POST', path, JSON_HEADERS, msgspec.json.encode(body), 1.0)
+        client.close()
+
+    def _announce(self) -> None:
+        client = HttpClient(self.guard_address, 1, MAX_ANSWER_BYTES)
+        body = msgspec.json.encode(
+            Announcement(self._service, self.get_address(), self._slots),
+        )
+        is_stopped = False
+        while not is_stopped:
+            client.send('POST', ANNOUNCE_PATH, JSON_HEADERS, body, 1.0)
+            is_stopped = self._stopped.wait(ANNOUNCE_INTERVAL_S)
+
+    def _serve(self, request: HttpRequest) -> HttpResponse:
+        match request.path:
+            case '/ledger':
+                return HttpResponse(
+                    HTTPStatus.OK, msgspec.json.encode(self.get_ledger())
+                )
+            case '/behaviour':
+                self._behaviour = msgspec.json.decode(
+                    request.body,
+                    type=Behaviour,
+                )
+                return HttpResponse(HTTPStatus.OK, b'{}')
+        return self._work(request)
+
+    def _work(self, request: HttpRequest) -> HttpResponse:
+        query = dict(urllib.parse.parse_qsl(request.query))
+        identity = query.get('id', '')
+        if not identity:
+            identity = request.headers.get('cumintack-request-id', '')
+        with self._lock:
+            self._runs[identity] += 1
+            self._at_once += 1
+            self._most_at_once = max(self._most_at_once, self._at_once)
+        try:
+            self._spend()
+        finally:
+            with self._lock:
+                self._at_once -= 1
+        body = b'{"answer_to":"%s"}' % identity.encode()
+        return HttpResponse(HTTPStatus.OK, body)
+
+    def _spend(self) -> None:
+        behaviour = self._behaviour
+        while self._behaviour.is_hung and not self._stopped.is_set():
+            time.sleep(HANG_CHECK_S)
+        change = 1 + behaviour.spread * (2 * self._generator.random() - 1)
+        time.sleep(behaviour.work_ms * behaviour.factor * change / 1000)
+
+
+@click.command()
+@click.option('--address', required=True)
+@click.option('--guard', 'guard_address', default='')
+@click.option('--service', default='rounds-desk')
+@click.option('--slots', default=8)
+@click.option('--work-ms', default=DEFAULT_WORK_MS)
+@click.option('--spread', default=0.5)
+def main(
+    address: str,
+    guard_address: str,
+    service: str,
+    slots: int,
+    work_ms: float,
+    spread: float,
+) -> None:
+    """Run the stand-in for an upstream until it is told to stop."""
+    upstream = SampleUpstream(
+        address,
+        guard_address,
+        service,
+        slots,
+        Behaviour(work_ms, spread),
+    )
+    stopped = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_args: stopped.set())
+    upstream.start()
+    stopped.wait()
+    upstream.stop()
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/cumintack/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between processes, their codec and the command language."""
--- /dev/null
+++ b/cumintack/protocol/language.py
@@ -0,0 +1,266 @@
+"""The query and command language of operators.
+
+The same text works in the tool, in its shell and over the API. Parsing
+gives typed statements; nothing here knows how they are carried out.
+"""
+
+import functools
+import pathlib
+
+import lark
+import msgspec
+from result import Err, Ok, Result
+
+from cumintack.state.errors import ErrorCode, StepError
+
+GRAMMAR_NAME = 'command.lark'
+MAX_TEXT = 65536
+TRUTHS = {'true': True, 'false': False}
+STEP = 'language.parse'
+
+Scalar = bool | int | float | str
+
+
+class Condition(msgspec.Struct, frozen=True):
+    """A comparison of a column."""
+
+    column: str
+    comparator: str
+    scalar: Scalar
+
+
+class Ordering(msgspec.Struct, frozen=True):
+    """A column to order by."""
+
+    column: str
+    is_descending: bool = False
+
+
+class Select(msgspec.Struct, frozen=True, tag=True):
+    """Rows of a table; without columns all of them."""
+
+    table: str
+    columns: tuple[str, ...] = ()
+    conditions: tuple[Condition, ...] = ()
+    ordering: Ordering | None = None
+    limit: int = 1000
+
+
+class Option(msgspec.Struct, frozen=True):
+    """A named option of a command."""
+
+    name: str
+    scalar: Scalar
+
+
+class Submit(msgspec.Struct, frozen=True, tag=True):
+    """Submit a job for a team."""
+
+    name: str
+    team: str
+    options: tuple[Option, ...]
+
+
+class Cancel(msgspec.Struct, frozen=True, tag=True):
+    """Cancel jobs."""
+
+    job_ids: tuple[str, ...]
+
+
+class Drain(msgspec.Struct, frozen=True, tag=True):
+    """Drain a worker, or end that."""
+
+    worker: str
+    is_draining: bool
+
+
+class Hold(msgspec.Struct, frozen=True, tag=True):
+    """Hold a job, or release it."""
+
+    job_id: str
+    is_held: bool
+
+
+class Assign(msgspec.Struct, frozen=True, tag=True):
+    """Set keys of the configuration."""
+
+    assignments: tuple[Option, ...]
+    version: int | None = None
+
+
+class Team(msgspec.Struct, frozen=True, tag=True):
+    """Create or change a team."""
+
+    name: str
+    options: tuple[Option, ...]
+
+
+class ReplicaChange(msgspec.Struct, frozen=True, tag=True):
+    """Add, replace or remove a control replica."""
+
+    name: str
+    address: str
+    is_removal: bool
+
+
+Statement = (
+    Select | Submit | Cancel | Drain | Hold | Assign | Team | ReplicaChange
+)
+
+
+def _read_word(text: str) -> Scalar:
+    truth = TRUTHS.get(text.lower())
+    if truth is not None:
+        return truth
+    for kind in (int, float):
+        try:
+            return kind(text)
+        except ValueError:
+            continue
+    return text
+
+
+class _Builder(lark.Transformer):
+    def start(self, parts: list[Statement]) -> Statement:
+        return parts[0]
+
+    def scalar(self, parts: list[lark.Token]) -> Scalar:
+        token = parts[0]
+        if token.type == 'STRING':
+            return str(token)[1:-1]
+        return _read_word(str(token))
+
+    def all_columns(self, _parts: list[lark.Token]) -> tuple[str, ...]:
+        return ()
+
+    def named_columns(self, parts: list[lark.Token]) -> tuple[str, ...]:
+        return tuple(str(part) for part in parts)
+
+    def condition(self, parts: list[lark.Token]) -> Condition:
+        column, comparator, scalar = parts
+        return Condition(str(column), str(comparator), scalar)
+
+    def where(self, parts: list[Condition]) -> tuple[Condition, ...]:
+        return tuple(parts)
+
+    def ascending(self, _parts: list[lark.Token]) -> bool:
+        return False
+
+    def descending(self, _parts: list[lark.Token]) -> bool:
+        return True
+
+    def order(self, parts: list[lark.Token]) -> Ordering:
+        is_descending = len(parts) > 1 and bool(parts[1])
+        return Ordering(str(parts[0]), is_descending)
+
+    def limit(self, parts: list[lark.Token]) -> int:
+        return int(str(parts[0]))
+
+    def select(self, parts: list[object]) -> Select:
+        conditions: tuple[Condition, ...] = ()
+        ordering = None
+        limit = 1000
+        for part in parts[2:]:
+            match part:
+                case tuple():
+                    conditions = part
+                case Ordering():
+                    ordering = part
+                case int():
+                    limit = part
+        columns = parts[0]
+        if not isinstance(columns, tuple):
+            columns = ()
+        return Select(
+            str(parts[1]).lower(),
+            columns,
+            conditions,
+            ordering,
+            limit,
+        )
+
+    def option(self, parts: list[lark.Token]) -> Option:
+        return Option(str(parts[0]), parts[1])
+
+    assignment = option
+
+    def submit(self, parts: list[Option]) -> Submit:
+        return Submit(str(parts[0]), str(parts[1]), tuple(parts[2:]))
+
+    def cancel(self, parts: list[Scalar]) -> Cancel:
+        return Cancel(tuple(str(part) for part in parts))
+
+    def drain(self, parts: list[Scalar]) -> Drain:
+        return Drain(str(parts[0]), is_draining=True)
+
+    def undrain(self, parts: list[Scalar]) -> Drain:
+        return Drain(str(parts[0]), is_draining=False)
+
+    def hold(self, parts: list[Scalar]) -> Hold:
+        return Hold(str(parts[0]), is_held=True)
+
+    def release(self, parts: list[Scalar]) -> Hold:
+        return Hold(str(parts[0]), is_held=False)
+
+    def version(self, parts: list[lark.Token]) -> int:
+        return int(str(parts[0]))
+
+    def set(self, parts: list[Option | int]) -> Assign:
+        assignments = tuple(part for part in parts if isinstance(part, Option))
+        versions = [part for part in parts if isinstance(part, int)]
+        return Assign(assignments, versions[0] if versions else None)
+
+    def team(self, parts: list[Option]) -> Team:
+        return Team(str(parts[0]), tuple(parts[1:]))
+
+    def add_replica(self, parts: list[Scalar]) -> ReplicaChange:
+        return ReplicaChange(str(parts[0]), str(parts[1]), is_removal=False)
+
+    def remove_replica(self, parts: list[Scalar]) -> ReplicaChange:
+        return ReplicaChange(str(parts[0]), '', is_removal=True)
+
+
+@functools.cache
+def _create_parser() -> lark.Lark:
+    grammar = pathlib.Path(__file__).with_name(GRAMMAR_NAME)
+    return lark.Lark(
+        grammar.read_text(encoding='utf-8'),
+        parser='lalr',
+        lexer='contextual',
+    )
+
+
+def parse_statement(text: str) -> Result[Statement, StepError]:
+    """Parse one statement.
+
+    Args:
+        text: The text of an operator.
+
+    Returns:
+        The statement, or an error that points at the column.
+    """
+    if len(text) > MAX_TEXT:
+        return Err(
+            StepError(ErrorCode.too_large, STEP, '', 'the text is too long'),
+        )
+    try:
+        tree = _create_parser().parse(text)
+        return Ok(_Builder().transform(tree))
+    except lark.exceptions.VisitError as error:
+        return Err(_refuse(f'not a number: {error.orig_exc}'))
+    except lark.exceptions.UnexpectedEOF:
+        return Err(_refuse(f'column {len(text) + 1}: something is missing'))
+    except lark.exceptions.UnexpectedInput as error:
+        return Err(_refuse(_describe(text, error)))
+
+
+def _describe(text: str, error: lark.exceptions.UnexpectedInput) -> str:
+    column = error.column if error.column > 0 else len(text) + 1
+    position = max(0, error.pos_in_stream or 0)
+    word = text[position:].split(maxsplit=1)
+    seen = repr(word[0]) if word and error.column > 0 else 'the end'
+    return f'line {max(1, error.line)}, column {column}: {seen} is not expected'
+
+
+def _refuse(detail: str) -> StepError:
+    return StepError(ErrorCode.invalid, STEP, '', detail)
--- /dev/null
+++ b/cumintack/state/_scheduling.py
@@ -0,0 +1,473 @@
+"""Transitions of teams, workers, jobs and tasks.
+
+The capacity of a worker and the quota of a team are checked here again,
+whatever the scheduler proposed, so that a stale proposal of a former leader
+can never overfill a worker.
+"""
+
+import msgspec
+
+from cumintack.state.commands import (
+    CancelJobs,
+    HoldJob,
+    MarkWorker,
+    Outcome,
+    PlaceTasks,
+    RegisterWorkers,
+    ReportTasks,
+    SetTeam,
+)
+from cumintack.state.errors import ErrorCode, StepError
+from cumintack.state.jobs import (
+    FINAL_STATUSES,
+    OCCUPYING_STATUSES,
+    Job,
+    JobSpec,
+    JobStatus,
+    Placement,
+    Task,
+    TaskReport,
+    TaskStatus,
+    compute_placed_task,
+    compute_reported_task,
+)
+from cumintack.state.resources import (
+    ZERO_RESOURCES,
+    compute_difference,
+    compute_sum,
+    is_within,
+    iter_missing,
+)
+from cumintack.state.tables import ControlTables, DerivedTables
+from cumintack.state.workers import (
+    Worker,
+    compute_batch_capacity,
+    is_accepting,
+)
+
+MAX_TASKS_PER_JOB = 20000
+SUBMIT_STEP = 'job.submit'
+
+
+def compute_derived(tables: ControlTables) -> None:
+    """Compute the derived tables again from the records.
+
+    Args:
+        tables: The state, whose derived part is replaced.
+    """
+    tables.derived = DerivedTables()
+    for task in tables.tasks.values():
+        if task.status in OCCUPYING_STATUSES:
+            _reserve(tables, task)
+    tables.derived.changed_tasks.update(tables.tasks)
+    tables.derived.changed_workers.update(tables.workers)
+
+
+def set_team(tables: ControlTables, index: int, team: SetTeam) -> Outcome:
+    """Create or change a team.
+
+    Args:
+        tables: The state, changed in place.
+        index: Index of the log entry.
+        team: The team with its quota and its share.
+
+    Returns:
+        The name of the team, or an error.
+    """
+    if team.share <= 0:
+        return _refuse(index, 'team.set', team.name, 'share must be over 0')
+    tables.teams[team.name] = team
+    return Outcome(index, names=(team.name,))
+
+
+def register_workers(
+    tables: ControlTables,
+    index: int,
+    operation: RegisterWorkers,
+) -> Outcome:
+    """Register workers, keeping marks of those already known.
+
+    Args:
+        tables: The state, changed in place.
+        index: Index of the log entry.
+        operation: The workers.
+
+    Returns:
+        The names of the workers.
+    """
+    for spec in operation.workers:
+        known = tables.workers.get(spec.name)
+        worker = (
+            msgspec.structs.replace(known, spec=spec) if known else Worker(spec)
+        )
+        tables.workers[spec.name] = worker
+        tables.derived.changed_workers.add(spec.name)
+    names = tuple(listed.name for listed in operation.workers)
+    return Outcome(index, names=names)
+
+
+def mark_worker(
+    tables: ControlTables,
+    index: int,
+    operation: MarkWorker,
+) -> Outcome:
+    """Drain or quarantine a worker, or end that.
+
+    Args:
+        tables: The state, changed in place.
+        index: Index of the log entry.
+        operation: The marks to change.
+
+    Returns:
+        The name of the worker, or an error.
+    """
+    worker = tables.workers.get(operation.name)
+    if worker is None:
+        return _refuse_unknown(index, 'worker.mark', operation.name)
+    if operation.is_draining is not None:
+        worker = msgspec.structs.replace(
+            worker,
+            is_draining=operation.is_draining,
+        )
+    if operation.is_quarantined is not None:
+        worker = msgspec.structs.replace(
+            worker,
+            is_quarantined=operation.is_quarantined,
+        )
+    tables.workers[operation.name] = worker
+    tables.derived.changed_workers.add(operation.name)
+    return Outcome(index, names=(operation.name,))
+
+
+def submit_job(
+    tables: ControlTables,
+    index: int,
+    spec: JobSpec,
+    submitted_at_ms: int,
+) -> Outcome:
+    """Accept a job and make its tasks, or refuse it with what it lacks.
+
+    Args:
+        tables: The state, changed in place.
+        index: Index of the log entry.
+        spec: The job asked for.
+        submitted_at_ms: Wall time of submission.
+
+    Returns:
+        The identifier of the job, or an error.
+    """
+    for check in SUBMIT_CHECKS:
+        error = check(tables, spec)
+        if error:
+            return Outcome(index, error)
+    job_id = f'j{index}'
+    tables.jobs[job_id] = Job(job_id, spec, submitted_at_ms=submitted_at_ms)
+    for number in range(spec.task_count):
+        task_id = f'{job_id}/{number}'
+        tables.tasks[task_id] = Task(task_id, job_id)
+        tables.derived.changed_tasks.add(task_id)
+    return Outcome(index, names=(job_id,))
+
+
+def _check_sizes(tables: ControlTables, spec: JobSpec) -> StepError | None:
+    need = spec.need
+    problem = ''
+    if not 1 <= spec.task_count <= MAX_TASKS_PER_JOB:
+        problem = f'task_count must be in 1..{MAX_TASKS_PER_JOB}'
+    if need.cores_milli < 1 or need.memory_mb < 1 or need.accelerators < 0:
+        problem = 'cores_milli and memory_mb must be at least 1'
+    if spec.run_time_s <= 0:
+        problem = 'run_time_s must be over 0'
+    if not problem:
+        return None
+    return StepError(ErrorCode.invalid, SUBMIT_STEP, spec.name, problem)
+
+
+def _check_team(tables: ControlTables, spec: JobSpec) -> StepError | None:
+    team = tables.teams.get(spec.team)
+    if team is None:
+        return StepError(
+            ErrorCode.not_found,
+            SUBMIT_STEP,
+            spec.team,
+            f'there is no team {spec.team!r}',
+        )
+    missing = iter_missing(spec.need, team.quota)
+    if not missing:
+        return None
+    return StepError(
+        ErrorCode.over_quota,
+        SUBMIT_STEP,
+        spec.team,
+        f'one task exceeds the quota of the team: {"; ".join(missing)}',
+    )
+
+
+def _check_possible(tables: ControlTables, spec: JobSpec) -> StepError | None:
+    closest: list[str] | None = None
+    for worker in tables.workers.values():
+        if not _is_allowed(worker, spec):
+            continue
+        missing = iter_missing(spec.need, compute_batch_capacity(worker))
+        if not missing:
+            return None
+        if closest is None or len(missing) < len(closest):
+            closest = missing
+    detail = 'no worker stands in the data centres allowed'
+    if closest is not None:
+        detail = f'no worker holds one task: {"; ".join(closest)}'
+    return StepError(ErrorCode.impossible, SUBMIT_STEP, spec.name, detail)
+
+
+SUBMIT_CHECKS = (_check_sizes, _check_team, _check_possible)
+
+
+def _is_allowed(worker: Worker, spec: JobSpec) -> bool:
+    allowed = spec.data_centres
+    return not allowed or worker.spec.data_centre in allowed
+
+
+def cancel_jobs(
+    tables: ControlTables,
+    index: int,
+    operation: CancelJobs,
+) -> Outcome:
+    """Cancel jobs; tasks that occupy a worker are stopped first.
+
+    Args:
+        tables: The state, changed in place.
+        index: Index of the log entry.
+        operation: The jobs.
+
+    Returns:
+        The jobs that were cancelled, or an error if none is known.
+    """
+    cancelled = []
+    for job_id in operation.job_ids:
+        job = tables.jobs.get(job_id)
+        if job is None or job.status is JobStatus.completed:
+            continue
+        _cancel_job(tables, job)
+        cancelled.append(job_id)
+    if not cancelled:
+        names = ','.join(operation.job_ids)
+        return _refuse_unknown(index, 'job.cancel', names)
+    return Outcome(index, names=tuple(cancelled))
+
+
+def _cancel_job(tables: ControlTables, job: Job) -> None:
+    tables.jobs[job.job_id] = msgspec.structs.replace(
+        job,
+        status=JobStatus.cancelled,
+    )
+    for number in range(job.spec.task_count):
+        task = tables.tasks[f'{job.job_id}/{number}']
+        if task.status in FINAL_STATUSES:
+            continue
+        status = TaskStatus.cancelled
+        if task.status in OCCUPYING_STATUSES:
+            status = TaskStatus.stopping
+        _store(tables, msgspec.structs.replace(task, status=status))
+
+
+def hold_job(
+    tables: ControlTables,
+    index: int,
+    operation: HoldJob,
+) -> Outcome:
+    """Hold a job or release it; a release also frees its held tasks.
+
+    Args:
+        tables: The state, changed in place.
+        index: Index of the log entry.
+        operation: The job and whether to hold it.
+
+    Returns:
+        The job, or an error.
+    """
+    job = tables.jobs.get(operation.job_id)
+    if job is None or job.status not in {JobStatus.active, JobStatus.held}:
+        return _refuse_unknown(index, 'job.hold', operation.job_id)
+    status = JobStatus.held if operation.is_held else JobStatus.active
+    tables.jobs[job.job_id] = msgspec.structs.replace(
+        job,
+        status=status,
+        reason=operation.reason,
+    )
+    for number in range(job.spec.task_count):
+        task = tables.tasks[f'{job.job_id}/{number}']
+        tables.derived.changed_tasks.add(task.task_id)
+        if task.status is TaskStatus.held and not operation.is_held:
+            _store(
+                tables,
+                msgspec.structs.replace(
+                    task,
+                    status=TaskStatus.pending,
+                    failed_on=(),
+                ),
+            )
+    return Outcome(index, names=(job.job_id,))
+
+
+def place_tasks(
+    tables: ControlTables,
+    index: int,
+    operation: PlaceTasks,
+) -> Outcome:
+    """Bind pending tasks to workers, each only if it still fits.
+
+    Args:
+        tables: The state, changed in place.
+        index: Index of the log entry.
+        operation: The placements proposed.
+
+    Returns:
+        The tasks that were placed; the others are pending as before.
+    """
+    placed = []
+    for placement in operation.placements:
+        if _is_placeable(tables, placement):
+            task = tables.tasks[placement.task_id]
+            _store(tables, compute_placed_task(task, placement))
+            placed.append(placement.task_id)
+        else:
+            tables.derived.changed_tasks.add(placement.task_id)
+            tables.derived.changed_workers.add(placement.worker)
+    return Outcome(index, names=tuple(placed))
+
+
+def _is_placeable(tables: ControlTables, placement: Placement) -> bool:
+    task = tables.tasks.get(placement.task_id)
+    worker = tables.workers.get(placement.worker)
+    if task is None or worker is None or not is_accepting(worker):
+        return False
+    if task.status is not TaskStatus.pending:
+        return False
+    job = tables.jobs[task.job_id]
+    is_next = placement.attempt == task.attempt + 1
+    if job.status is not JobStatus.active or not is_next:
+        return False
+    return _is_fitting(tables, job.spec, worker)
+
+
+def _is_fitting(tables: ControlTables, spec: JobSpec, worker: Worker) -> bool:
+    reserved = tables.derived.reserved.get(worker.spec.name, ZERO_RESOURCES)
+    after = compute_sum(reserved, spec.need)
+    if not is_within(after, compute_batch_capacity(worker)):
+        return False
+    team = tables.teams[spec.team]
+    used = tables.derived.team_usage.get(spec.team, ZERO_RESOURCES)
+    return is_within(compute_sum(used, spec.need), team.quota)
+
+
+def report_tasks(
+    tables: ControlTables,
+    index: int,
+    operation: ReportTasks,
+) -> Outcome:
+    """Record reports; those that do not apply change nothing.
+
+    Args:
+        tables: The state, changed in place.
+        index: Index of the log entry.
+        operation: The reports.
+
+    Returns:
+        The tasks that changed.
+    """
+    changed = []
+    for report in operation.reports:
+        task = tables.tasks.get(report.task_id)
+        if task is None:
+            continue
+        if _report_task(tables, task, report):
+            changed.append(report.task_id)
+    return Outcome(index, names=tuple(changed))
+
+
+def _report_task(
+    tables: ControlTables,
+    task: Task,
+    report: TaskReport,
+) -> bool:
+    job = tables.jobs[task.job_id]
+    after = compute_reported_task(task, report, job.spec.is_idempotent)
+    if after is task:
+        return False
+    is_back = after.status in {TaskStatus.pending, TaskStatus.held}
+    if is_back and job.status is JobStatus.cancelled:
+        after = msgspec.structs.replace(after, status=TaskStatus.cancelled)
+    _store(tables, after)
+    if after.status is TaskStatus.completed:
+        _count_completed(tables, job)
+    elif after.status is TaskStatus.held:
+        _hold_failing(tables, job, report)
+    return True
+
+
+def _count_completed(tables: ControlTables, job: Job) -> None:
+    count = job.completed_count + 1
+    status = job.status
+    if count == job.spec.task_count and status is not JobStatus.cancelled:
+        status = JobStatus.completed
+    tables.jobs[job.job_id] = msgspec.structs.replace(
+        job,
+        completed_count=count,
+        status=status,
+    )
+
+
+def _hold_failing(tables: ControlTables, job: Job, report: TaskReport) -> None:
+    reason = f'{report.task_id} failed on several workers: {report.detail}'
+    tables.jobs[job.job_id] = msgspec.structs.replace(
+        job,
+        status=JobStatus.held,
+        reason=reason,
+    )
+
+
+def _store(tables: ControlTables, after: Task) -> None:
+    before = tables.tasks[after.task_id]
+    was_occupying = before.status in OCCUPYING_STATUSES
+    is_occupying = after.status in OCCUPYING_STATUSES
+    tables.tasks[after.task_id] = after
+    tables.derived.changed_tasks.add(after.task_id)
+    if was_occupying and not is_occupying:
+        _release(tables, before)
+    elif is_occupying and not was_occupying:
+        _reserve(tables, after)
+
+
+def _reserve(tables: ControlTables, task: Task) -> None:
+    derived = tables.derived
+    spec = tables.jobs[task.job_id].spec
+    reserved = derived.reserved.get(task.worker, ZERO_RESOURCES)
+    derived.reserved[task.worker] = compute_sum(reserved, spec.need)
+    used = derived.team_usage.get(spec.team, ZERO_RESOURCES)
+    derived.team_usage[spec.team] = compute_sum(used, spec.need)
+    derived.tasks_by_worker.setdefault(task.worker, set()).add(task.task_id)
+    derived.changed_workers.add(task.worker)
+
+
+def _release(tables: ControlTables, task: Task) -> None:
+    derived = tables.derived
+    spec = tables.jobs[task.job_id].spec
+    reserved = derived.reserved.get(task.worker, ZERO_RESOURCES)
+    derived.reserved[task.worker] = compute_difference(reserved, spec.need)
+    used = derived.team_usage.get(spec.team, ZERO_RESOURCES)
+    derived.team_usage[spec.team] = compute_difference(used, spec.need)
+    derived.tasks_by_worker.setdefault(task.worker, set()).discard(
+        task.task_id,
+    )
+    derived.changed_workers.add(task.worker)
+
+
+def _refuse(index: int, step: str, peer: str, detail: str) -> Outcome:
+    return Outcome(index, StepError(ErrorCode.invalid, step, peer, detail))
+
+
+def _refuse_unknown(index: int, step: str, peer: str) -> Outcome:
+    return Outcome(
+        index,
+        StepError(ErrorCode.not_found, step, peer, f'{peer!r} is not known'),
+    )
--- /dev/null
+++ b/cumintack/state/configuration.py
@@ -0,0 +1,331 @@
+"""The configuration in force: typed keys under one revision.
+
+A key is known by its pattern, so that a misspelt key is refused when it is
+set and not discovered when it has no effect. The revision is the index of
+the log entry that made the last change, so that it can never go back.
+"""
+
+import re
+
+import msgspec
+
+from cumintack.state.commands import ConfigurationChange, Setting
+from cumintack.state.errors import ErrorCode, StepError
+
+STEP = 'config.set'
+MAX_SETTING_TEXT = 4096
+MAX_HISTORY = 2000
+MAX_MS = 600000
+MAX_COUNT = 1000000
+MAX_NUMBER = 1e15
+DEFAULT_TIMEOUT_MS = 2000
+DEFAULT_SLOW_MS = 1000
+_NAME = r'[a-z0-9][a-z0-9_-]{0,62}'
+
+
+class KeyRule(msgspec.Struct, frozen=True):
+    """Rule for the keys that match a pattern.
+
+    Attributes:
+        pattern: Regular expression of the whole key.
+        kinds: Types allowed.
+        lowest: Smallest number allowed.
+        highest: Largest number allowed.
+        default: Setting in force while the key is not set.
+        meaning: One sentence for the reference page.
+    """
+
+    pattern: str
+    kinds: tuple[type, ...]
+    lowest: float
+    highest: float
+    default: Setting
+    meaning: str
+
+
+KEY_RULES = (
+    KeyRule(
+        rf'service\.{_NAME}\.timeout_ms',
+        (int,),
+        1,
+        MAX_MS,
+        DEFAULT_TIMEOUT_MS,
+        'Time allowed for a request without a timeout of its own.',
+    ),
+    KeyRule(
+        rf'service\.{_NAME}\.max_in_flight',
+        (int,),
+        1,
+        MAX_COUNT,
+        MAX_COUNT,
+        'Requests of a service in flight through one entry.',
+    ),
+    KeyRule(
+        rf'service\.{_NAME}\.slow_ms',
+        (int,),
+        1,
+        MAX_MS,
+        DEFAULT_SLOW_MS,
+        'Answer time from which an attempt counts as slow.',
+    ),
+    KeyRule(
+        rf'team\.{_NAME}\.rate_per_s',
+        (int, float),
+        0,
+        MAX_COUNT,
+        MAX_COUNT,
+        'Requests a second that one entry accepts from a team.',
+    ),
+    KeyRule(
+        r'entry\.retry_ratio',
+        (int, float),
+        0,
+        1,
+        0.1,
+        'Retries allowed as a fraction of requests.',
+    ),
+    KeyRule(
+        r'entry\.hedge_after_ms',
+        (int,),
+        0,
+        MAX_MS,
+        0,
+        'Wait before a second attempt of an idempotent request; 0 for none.',
+    ),
+    KeyRule(
+        r'scheduler\.weight_(tail_latency|throughput|evictions)',
+        (int, float),
+        0,
+        100,
+        1.0,
+        'Weight of one measure when quick and batch work compete.',
+    ),
+    KeyRule(
+        rf'note\.{_NAME}',
+        (str, int, float, bool),
+        -MAX_NUMBER,
+        MAX_NUMBER,
+        '',
+        'Free text for operators.',
+    ),
+)
+
+
+class ConfigurationItem(msgspec.Struct, frozen=True):
+    """A key in force with the revision and the author of its last change."""
+
+    key: str
+    setting: Setting
+    version: int
+    author: str
+
+
+class ConfigurationRecord(msgspec.Struct, frozen=True):
+    """One accepted change, for the history."""
+
+    revision: int
+    author: str
+    changed_at_ms: int
+    changes: tuple[ConfigurationChange, ...]
+
+
+class Configuration(msgspec.Struct, frozen=True):
+    """All keys that were set, under one revision."""
+
+    revision: int = 0
+    items: dict[str, ConfigurationItem] = {}
+
+
+def get_rule(key: str) -> KeyRule | None:
+    """Get the rule for a key.
+
+    Args:
+        key: The whole key.
+
+    Returns:
+        The rule, or None for an unknown key.
+    """
+    for rule in KEY_RULES:
+        if re.fullmatch(rule.pattern, key):
+            return rule
+    return None
+
+
+def get_setting(configuration: Configuration, key: str) -> Setting:
+    """Get the setting in force for a key.
+
+    Args:
+        configuration: The configuration in force.
+        key: A known key.
+
+    Returns:
+        The setting, or the default of the rule of the key.
+    """
+    found = configuration.items.get(key)
+    if found is not None:
+        return found.setting
+    rule = get_rule(key)
+    return rule.default if rule else ''
+
+
+def get_number(configuration: Configuration, key: str) -> float:
+    """Get the setting of a numeric key.
+
+    Args:
+        configuration: The configuration in force.
+        key: A known key with numbers only.
+
+    Returns:
+        The number in force.
+    """
+    return float(get_setting(configuration, key))
+
+
+def _check_known(change: ConfigurationChange) -> str:
+    if get_rule(change.key) is None:
+        return f'unknown key {change.key!r}'
+    return ''
+
+
+def _check_kind(change: ConfigurationChange) -> str:
+    rule = get_rule(change.key)
+    if rule is None:
+        return ''
+    setting = change.setting
+    if isinstance(setting, bool) and bool not in rule.kinds:
+        return f'{change.key}: a truth value is not allowed'
+    if not isinstance(setting, rule.kinds):
+        names = ' or '.join(kind.__name__ for kind in rule.kinds)
+        return f'{change.key}: expected {names}'
+    return ''
+
+
+def _check_range(change: ConfigurationChange) -> str:
+    rule = get_rule(change.key)
+    setting = change.setting
+    if rule is None or isinstance(setting, bool):
+        return ''
+    if isinstance(setting, str):
+        is_long = len(setting) > MAX_SETTING_TEXT
+        return f'{change.key}: text too long' if is_long else ''
+    if not rule.lowest <= setting <= rule.highest:
+        allowed = f'{rule.lowest:g}..{rule.highest:g}'
+        return f'{change.key}: {setting} is not in {allowed}'
+    return ''
+
+
+CHANGE_CHECKS = (_check_known, _check_kind, _check_range)
+
+
+def check_changes(
+    configuration: Configuration,
+    changes: tuple[ConfigurationChange, ...],
+) -> StepError | None:
+    """Check changes against the rules and the versions.
+
+    Args:
+        configuration: The configuration in force.
+        changes: The changes, to be accepted all or none.
+
+    Returns:
+        The first error, or None.
+    """
+    for change in changes:
+        for check in CHANGE_CHECKS:
+            problem = check(change)
+            if problem:
+                return StepError(ErrorCode.invalid, STEP, '', problem)
+        conflict = _check_version(configuration, change)
+        if conflict:
+            return conflict
+    return None
+
+
+def _check_version(
+    configuration: Configuration,
+    change: ConfigurationChange,
+) -> StepError | None:
+    if change.expected_version is None:
+        return None
+    found = configuration.items.get(change.key)
+    version = found.version if found else 0
+    if version == change.expected_version:
+        return None
+    author = found.author if found else 'nobody'
+    return StepError(
+        ErrorCode.conflict,
+        STEP,
+        author,
+        f'{change.key} is at version {version}, changed by {author}',
+        version,
+    )
+
+
+def compute_changed(
+    configuration: Configuration,
+    changes: tuple[ConfigurationChange, ...],
+    revision: int,
+    author: str,
+) -> Configuration:
+    """Compute the configuration after accepted changes.
+
+    Args:
+        configuration: The configuration before.
+        changes: Changes that passed ``check_changes``.
+        revision: Index of the log entry that carries them.
+        author: Who asked for them.
+
+    Returns:
+        The configuration with the new revision.
+    """
+    items = dict(configuration.items)
+    for change in changes:
+        items[change.key] = ConfigurationItem(
+            change.key,
+            change.setting,
+            revision,
+            author,
+        )
+    return Configuration(revision, items)
+
+
+def compute_changed_since(
+    configuration: Configuration,
+    revision: int,
+) -> Configuration:
+    """Compute what a process at an earlier revision lacks.
+
+    Args:
+        configuration: The configuration in force.
+        revision: The earlier revision.
+
+    Returns:
+        The revision in force with the items changed since.
+    """
+    items = {
+        key: item
+        for key, item in configuration.items.items()
+        if item.version > revision
+    }
+    return Configuration(configuration.revision, items)
+
+
+def compute_merged(
+    configuration: Configuration,
+    changed: Configuration,
+) -> Configuration:
+    """Compute the configuration after changes from another process.
+
+    Args:
+        configuration: The configuration of this process.
+        changed: The items changed since its revision or an earlier one.
+
+    Returns:
+        The later of the two revisions with all its items.
+    """
+    if changed.revision <= configuration.revision:
+        return configuration
+    return Configuration(
+        changed.revision,
+        {**configuration.items, **changed.items},
+    )
