--- /dev/null
+++ b/cumintack/state/machine.py
@@ -0,0 +1,201 @@
+"""The replicated state machine of the control group.
+
+The tables are dictionaries changed in place, because copying tables of
+93,000 tasks for each command would cost more than the command. The records
+in them are immutable, and all changes go through ``apply_command``, which
+depends on nothing but its arguments: every replica computes the same state.
+"""
+
+import msgspec
+
+from cumintack.state import _claiming, _scheduling
+from cumintack.state.claims import Claim
+from cumintack.state.commands import (
+    CancelJobs,
+    ClaimRequest,
+    Command,
+    HoldJob,
+    MarkWorker,
+    Outcome,
+    PlaceTasks,
+    RegisterWorkers,
+    ReportTasks,
+    SetConfiguration,
+    SetTeam,
+    SettleClaim,
+    SubmitJob,
+)
+from cumintack.state.configuration import (
+    MAX_HISTORY,
+    ConfigurationRecord,
+    check_changes,
+    compute_changed,
+)
+from cumintack.state.errors import ErrorCode, StepError
+from cumintack.state.tables import ControlTables, DerivedTables, SessionRecord
+
+MAX_OUTCOMES_PER_SESSION = 64
+MAX_SESSIONS = 20000
+
+
+def apply_command(
+    tables: ControlTables,
+    index: int,
+    command: Command,
+) -> Outcome:
+    """Apply a committed command, at most once.
+
+    Args:
+        tables: The state, changed in place.
+        index: Index of the log entry.
+        command: The command.
+
+    Returns:
+        The outcome of the first application of this session and sequence.
+    """
+    tables.applied_index = index
+    session = tables.sessions.get(command.session)
+    if session is not None:
+        repeated = _get_repeated(session, command)
+        if repeated is not None:
+            return repeated
+    outcome = _apply_operation(tables, index, command)
+    _record_outcome(tables, command, outcome)
+    return outcome
+
+
+def _get_repeated(session: SessionRecord, command: Command) -> Outcome | None:
+    found = session.outcomes.get(command.sequence)
+    if found is not None:
+        return found
+    if command.sequence > session.forgotten_up_to:
+        return None
+    return Outcome(
+        error=StepError(
+            ErrorCode.expired,
+            'command',
+            command.session,
+            'the outcome of this sequence number is no longer kept',
+        ),
+    )
+
+
+def _record_outcome(
+    tables: ControlTables,
+    command: Command,
+    outcome: Outcome,
+) -> None:
+    session = tables.sessions.pop(command.session, None)
+    if session is None:
+        session = SessionRecord()
+    tables.sessions[command.session] = session
+    session.outcomes[command.sequence] = outcome
+    if len(session.outcomes) > MAX_OUTCOMES_PER_SESSION:
+        oldest = min(session.outcomes)
+        session.outcomes.pop(oldest)
+        session.forgotten_up_to = max(session.forgotten_up_to, oldest)
+    if len(tables.sessions) > MAX_SESSIONS:
+        tables.sessions.pop(next(iter(tables.sessions)))
+
+
+def _apply_operation(
+    tables: ControlTables,
+    index: int,
+    command: Command,
+) -> Outcome:
+    operation = command.operation
+    match operation:
+        case SetConfiguration():
+            return _set_configuration(tables, index, command, operation)
+        case ClaimRequest():
+            return _claiming.claim_request(
+                tables,
+                index,
+                Claim(
+                    operation.claim_key,
+                    operation.request_id,
+                    operation.entry,
+                    command.proposed_at_ms,
+                ),
+            )
+        case SettleClaim():
+            return _claiming.settle_claim(tables, index, operation)
+        case SetTeam():
+            return _scheduling.set_team(tables, index, operation)
+        case SubmitJob():
+            return _scheduling.submit_job(
+                tables,
+                index,
+                operation.spec,
+                command.proposed_at_ms,
+            )
+        case CancelJobs():
+            return _scheduling.cancel_jobs(tables, index, operation)
+        case HoldJob():
+            return _scheduling.hold_job(tables, index, operation)
+        case RegisterWorkers():
+            return _scheduling.register_workers(tables, index, operation)
+        case MarkWorker():
+            return _scheduling.mark_worker(tables, index, operation)
+        case PlaceTasks():
+            return _scheduling.place_tasks(tables, index, operation)
+        case ReportTasks():
+            return _scheduling.report_tasks(tables, index, operation)
+
+
+def _set_configuration(
+    tables: ControlTables,
+    index: int,
+    command: Command,
+    operation: SetConfiguration,
+) -> Outcome:
+    error = check_changes(tables.configuration, operation.changes)
+    if error:
+        return Outcome(index, error)
+    tables.configuration = compute_changed(
+        tables.configuration,
+        operation.changes,
+        index,
+        command.author,
+    )
+    tables.history.append(
+        ConfigurationRecord(
+            index,
+            command.author,
+            command.proposed_at_ms,
+            operation.changes,
+        ),
+    )
+    if len(tables.history) > MAX_HISTORY:
+        tables.history.pop(0)
+    return Outcome(
+        index,
+        names=tuple(change.key for change in operation.changes),
+    )
+
+
+def encode_tables(tables: ControlTables) -> bytes:
+    """Encode the state for a snapshot.
+
+    Args:
+        tables: The state.
+
+    Returns:
+        The encoded state, the same bytes for the same state.
+    """
+    kept = msgspec.structs.replace(tables, derived=DerivedTables())
+    return msgspec.msgpack.encode(kept)
+
+
+def decode_tables(encoded: bytes) -> ControlTables:
+    """Decode the state of a snapshot and compute what is derived.
+
+    Args:
+        encoded: What ``encode_tables`` returned.
+
+    Returns:
+        The state.
+    """
+    tables = msgspec.msgpack.decode(encoded, type=ControlTables)
+    _scheduling.compute_derived(tables)
+    return tables
--- /dev/null
+++ b/cumintack/state/resources.py
@@ -0,0 +1,112 @@
+"""Amounts of processors, memory and accelerators.
+
+One record serves for what a worker holds, what a task declares and what a
+team may use, so that one comparison decides all three.
+"""
+
+import msgspec
+
+MILLI_PER_CORE = 1000
+
+
+class Resources(msgspec.Struct, frozen=True, order=True):
+    """An amount in every dimension in which a worker can be full."""
+
+    cores_milli: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+
+
+ZERO_RESOURCES = Resources()
+
+
+def compute_sum(left: Resources, right: Resources) -> Resources:
+    """Add two amounts.
+
+    Args:
+        left: One amount.
+        right: The other amount.
+
+    Returns:
+        The sum in every dimension.
+    """
+    return Resources(
+        left.cores_milli + right.cores_milli,
+        left.memory_mb + right.memory_mb,
+        left.accelerators + right.accelerators,
+    )
+
+
+def compute_difference(left: Resources, right: Resources) -> Resources:
+    """Subtract one amount from another.
+
+    Args:
+        left: The amount to subtract from.
+        right: The amount to subtract.
+
+    Returns:
+        The difference, which may be negative in a dimension.
+    """
+    return Resources(
+        left.cores_milli - right.cores_milli,
+        left.memory_mb - right.memory_mb,
+        left.accelerators - right.accelerators,
+    )
+
+
+def compute_product(amount: Resources, factor: int) -> Resources:
+    """Multiply an amount.
+
+    Args:
+        amount: The amount of one task.
+        factor: The number of tasks.
+
+    Returns:
+        The amount of all the tasks.
+    """
+    return Resources(
+        amount.cores_milli * factor,
+        amount.memory_mb * factor,
+        amount.accelerators * factor,
+    )
+
+
+def is_within(amount: Resources, limit: Resources) -> bool:
+    """Tell whether an amount fits under a limit in every dimension.
+
+    Args:
+        amount: The amount asked for.
+        limit: The amount that is there.
+
+    Returns:
+        True if no dimension is exceeded.
+    """
+    return (
+        amount.cores_milli <= limit.cores_milli
+        and amount.memory_mb <= limit.memory_mb
+        and amount.accelerators <= limit.accelerators
+    )
+
+
+def iter_missing(amount: Resources, limit: Resources) -> list[str]:
+    """List the dimensions in which an amount exceeds a limit.
+
+    Args:
+        amount: The amount asked for.
+        limit: The amount that is there.
+
+    Returns:
+        One phrase for each dimension that falls short.
+    """
+    missing = []
+    if amount.cores_milli > limit.cores_milli:
+        missing.append(
+            f'cores_milli {amount.cores_milli} > {limit.cores_milli}',
+        )
+    if amount.memory_mb > limit.memory_mb:
+        missing.append(f'memory_mb {amount.memory_mb} > {limit.memory_mb}')
+    if amount.accelerators > limit.accelerators:
+        missing.append(
+            f'accelerators {amount.accelerators} > {limit.accelerators}',
+        )
+    return missing
--- /dev/null
+++ b/cumintack/state/tables.py
@@ -0,0 +1,67 @@
+"""Tables of the replicated state.
+
+They stand apart from the transitions so that each group of transitions can
+have a module of its own.
+"""
+
+import msgspec
+
+from cumintack.state.claims import Claim
+from cumintack.state.commands import Outcome, SetTeam
+from cumintack.state.configuration import Configuration, ConfigurationRecord
+from cumintack.state.jobs import Job, Task
+from cumintack.state.resources import Resources
+from cumintack.state.workers import Worker
+
+
+class SessionRecord(msgspec.Struct):
+    """Outcomes of the latest commands of one session."""
+
+    outcomes: dict[int, Outcome] = {}
+    forgotten_up_to: int = 0
+
+
+class DerivedTables(msgspec.Struct):
+    """What can be computed again from the tables.
+
+    Attributes:
+        reserved: Resources reserved on each worker.
+        tasks_by_worker: Identifiers of the tasks that occupy each worker.
+        team_usage: Resources reserved by each team.
+        changed_tasks: Tasks changed since the scheduler last looked.
+        changed_workers: Workers changed since the scheduler last looked.
+    """
+
+    reserved: dict[str, Resources] = {}
+    tasks_by_worker: dict[str, set[str]] = {}
+    team_usage: dict[str, Resources] = {}
+    changed_tasks: set[str] = set()
+    changed_workers: set[str] = set()
+
+
+class ControlTables(msgspec.Struct):
+    """The whole replicated state.
+
+    Attributes:
+        applied_index: Index of the last log entry applied.
+        configuration: The configuration in force.
+        history: Latest accepted configuration changes, oldest first.
+        sessions: Sessions, least recently used first.
+        teams: Teams by name.
+        jobs: Jobs by identifier.
+        tasks: Tasks by identifier.
+        workers: Workers by name.
+        claims: Claims by key.
+        derived: What is not part of a snapshot.
+    """
+
+    applied_index: int = 0
+    configuration: Configuration = msgspec.field(default_factory=Configuration)
+    history: list[ConfigurationRecord] = []
+    sessions: dict[str, SessionRecord] = {}
+    teams: dict[str, SetTeam] = {}
+    jobs: dict[str, Job] = {}
+    tasks: dict[str, Task] = {}
+    workers: dict[str, Worker] = {}
+    claims: dict[str, Claim] = {}
+    derived: DerivedTables = msgspec.field(default_factory=DerivedTables)
--- /dev/null
+++ b/cumintack/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Input and output: links between processes, HTTP, files and clocks."""
--- /dev/null
+++ b/cumintack/transport/_frames.py
@@ -0,0 +1,209 @@
+"""Checksummed frames and records in files."""
+
+import os
+import pathlib
+import struct
+import zlib
+from typing import TypeVar
+
+import msgspec
+
+from cumintack.protocol.replication_messages import LogEntry
+from cumintack.state.errors import ErrorCode, StepError
+
+HEADER = struct.Struct('<4sII')
+FRAME_MARK = b'CTF1'
+RECOVER_STEP = 'journal.recover'
+NEW_SUFFIX = '.new'
+FILE_MODE = 0o600
+
+_DECODER = msgspec.msgpack.Decoder(list[LogEntry])
+Record = TypeVar('Record')
+
+
+class FatalDiskError(Exception):
+    """A sync failed: nothing is known of what the disk holds any more."""
+
+
+class FrameScan(msgspec.Struct):
+    """What a log file holds.
+
+    Attributes:
+        frames: Entries of each good frame.
+        size: Bytes up to the end of the last good frame.
+        is_tail_cut: Whether anything stands behind it.
+        error: Corruption that can't be a torn write.
+    """
+
+    frames: list[list[LogEntry]] = []
+    size: int = 0
+    is_tail_cut: bool = False
+    error: StepError | None = None
+
+
+def encode_frame(entries: list[LogEntry]) -> bytes:
+    """Encode entries as one frame.
+
+    Args:
+        entries: The entries.
+
+    Returns:
+        Header and body.
+    """
+    return _wrap(msgspec.msgpack.encode(entries))
+
+
+def _wrap(body: bytes) -> bytes:
+    return HEADER.pack(FRAME_MARK, len(body), zlib.crc32(body)) + body
+
+
+def _read_body(encoded: bytes, offset: int) -> bytes | None:
+    if len(encoded) - offset < HEADER.size:
+        return None
+    mark, size, checksum = HEADER.unpack_from(encoded, offset)
+    start = offset + HEADER.size
+    body = encoded[start : start + size]
+    is_good = mark == FRAME_MARK and len(body) == size
+    if not is_good or zlib.crc32(body) != checksum:
+        return None
+    return body
+
+
+def scan_frames(path: pathlib.Path) -> FrameScan:
+    """Read the frames of a log file.
+
+    Args:
+        path: The file; a missing one is empty.
+
+    Returns:
+        What it holds.
+    """
+    scan = FrameScan()
+    encoded = path.read_bytes() if path.exists() else b''
+    while scan.size < len(encoded):
+        body = _read_body(encoded, scan.size)
+        if body is None:
+            _judge_tail(scan, encoded, path)
+            return scan
+        scan.frames.append(_DECODER.decode(body))
+        scan.size += HEADER.size + len(body)
+    return scan
+
+
+def _judge_tail(scan: FrameScan, encoded: bytes, path: pathlib.Path) -> None:
+    position = encoded.find(FRAME_MARK, scan.size + 1)
+    while position >= 0:
+        if _read_body(encoded, position) is not None:
+            scan.error = StepError(
+                ErrorCode.corrupt,
+                RECOVER_STEP,
+                str(path),
+                f'bad frame at offset {scan.size}, good frame at {position}',
+            )
+            return
+        position = encoded.find(FRAME_MARK, position + 1)
+    scan.is_tail_cut = True
+
+
+def write_at(descriptor: int, encoded: bytes, offset: int) -> None:
+    """Write all bytes at an offset.
+
+    Args:
+        descriptor: The open file.
+        encoded: What to write.
+        offset: Where to write it.
+
+    Raises:
+        OSError: If the disk is full.
+    """
+    written = 0
+    while written < len(encoded):
+        written += os.pwrite(descriptor, encoded[written:], offset + written)
+
+
+def replace_file(path: pathlib.Path, encoded: bytes) -> None:
+    """Replace a file as a whole, synced before and after the rename.
+
+    Args:
+        path: The file.
+        encoded: Its new bytes.
+    """
+    new_path = path.with_suffix(NEW_SUFFIX)
+    descriptor = os.open(
+        new_path,
+        os.O_WRONLY | os.O_CREAT | os.O_TRUNC,
+        FILE_MODE,
+    )
+    try:
+        write_at(descriptor, encoded, 0)
+        sync_descriptor(descriptor)
+    finally:
+        os.close(descriptor)
+    new_path.replace(path)
+    sync_folder(path.parent)
+
+
+def sync_descriptor(descriptor: int) -> None:
+    """Make what was written to a file last.
+
+    Args:
+        descriptor: The open file.
+
+    Raises:
+        FatalDiskError: If the disk refuses; the process must stop.
+    """
+    try:
+        os.fdatasync(descriptor)
+    except OSError as error:
+        raise FatalDiskError(str(error)) from error
+
+
+def sync_folder(folder: pathlib.Path) -> None:
+    """Make renames and new files in a folder last.
+
+    Args:
+        folder: The folder.
+    """
+    descriptor = os.open(folder, os.O_RDONLY)
+    try:
+        sync_descriptor(descriptor)
+    finally:
+        os.close(descriptor)
+
+
+def write_record(path: pathlib.Path, record: msgspec.Struct) -> None:
+    """Write one record as a whole file.
+
+    Args:
+        path: The file.
+        record: The record.
+    """
+    replace_file(path, _wrap(msgspec.msgpack.encode(record)))
+
+
+def read_record(
+    path: pathlib.Path,
+    kind: type[Record],
+    default: Record,
+) -> Record | StepError:
+    """Read one record.
+
+    Args:
+        path: The file.
+        kind: Type of the record.
+        default: What a missing file stands for.
+
+    Returns:
+        The record, or an error that names the file.
+    """
+    if not path.exists():
+        return default
+    body = _read_body(path.read_bytes(), 0)
+    if body is None:
+        return StepError(
+            ErrorCode.corrupt,
+            RECOVER_STEP,
+            str(path),
+            'bad checksum at offset 0',
+        )
+    return msgspec.msgpack.decode(body, type=kind)
--- /dev/null
+++ b/cumintack/transport/clock.py
@@ -0,0 +1,43 @@
+"""Clocks as an interface, so that tests decide what time it is."""
+
+import datetime
+import time
+from typing import Protocol
+
+MS_PER_S = 1000
+
+
+class Clock(Protocol):
+    """Source of monotonic and of wall time."""
+
+    def now_s(self) -> float:
+        """Return monotonic time in seconds."""
+
+    def wall(self) -> datetime.datetime:
+        """Return wall time in UTC."""
+
+
+class SystemClock:
+    """The clocks of the operating system."""
+
+    __slots__ = ()
+
+    def now_s(self) -> float:
+        """Return monotonic time in seconds."""
+        return time.monotonic()
+
+    def wall(self) -> datetime.datetime:
+        """Return wall time in UTC."""
+        return datetime.datetime.now(datetime.UTC)
+
+
+def get_wall_ms(clock: Clock) -> int:
+    """Get wall time in ms since 1970.
+
+    Args:
+        clock: The clock.
+
+    Returns:
+        The number of ms.
+    """
+    return int(clock.wall().timestamp() * MS_PER_S)
--- /dev/null
+++ b/cumintack/transport/http_server.py
@@ -0,0 +1,200 @@
+"""HTTP server: requests in threads, with limits against hostile senders."""
+
+from http import HTTPStatus
+import socket
+import threading
+from collections.abc import Callable, Iterator
+
+import msgspec
+from cheroot import wsgi
+
+from cumintack.state.requests import Header
+
+MAX_HEADER_BYTES = 32768
+READ_TIMEOUT_S = 10
+BACKLOG = 512
+
+
+class HttpRequest(msgspec.Struct, frozen=True):
+    """A request as received.
+
+    Attributes:
+        method: Method in upper case.
+        path: Decoded path.
+        query: Query string without the question mark.
+        headers: Headers by lower-case name.
+        body: The whole body.
+        peer: Address of the sender.
+    """
+
+    method: str
+    path: str
+    query: str
+    headers: dict[str, str]
+    body: bytes
+    peer: str = ''
+
+
+class HttpResponse(msgspec.Struct, frozen=True):
+    """A response to send."""
+
+    status: int
+    body: bytes = b''
+    headers: tuple[Header, ...] = ()
+    content_type: str = 'application/json'
+
+
+HttpHandler = Callable[[HttpRequest], HttpResponse]
+WsgiEnvironment = dict[str, object]
+
+
+class HttpServer:
+    """A server on one address with a pool of threads."""
+
+    __slots__ = ('_answer', '_max_body_bytes', '_server', '_thread')
+
+    def __init__(
+        self,
+        address: str,
+        respond: HttpHandler,
+        thread_count: int,
+        max_body_bytes: int,
+    ) -> None:
+        """Bind to ``host:port``; nothing is accepted before ``start``."""
+        host, port = split_address(address)
+        self._answer = respond
+        self._max_body_bytes = max_body_bytes
+        self._server = wsgi.Server(
+            (host, port),
+            self._serve,
+            numthreads=thread_count,
+            max=thread_count,
+            request_queue_size=BACKLOG,
+            timeout=READ_TIMEOUT_S,
+        )
+        self._server.max_request_header_size = MAX_HEADER_BYTES
+        self._server.max_request_body_size = max_body_bytes
+        self._server.server_name = 'cumintack'
+        self._thread = threading.Thread(
+            target=self._server.serve,
+            name=f'http-{port}',
+            daemon=True,
+        )
+
+    def start(self) -> None:
+        """Accept requests."""
+        self._server.prepare()
+        self._thread.start()
+
+    def get_port(self) -> int:
+        """Return the port that is bound, of use when 0 was asked for."""
+        return int(self._server.bind_addr[1])
+
+    def stop(self) -> None:
+        """Stop accepting, let the threads finish what they serve."""
+        self._server.stop()
+        self._thread.join(timeout=1)
+
+    def _serve(
+        self,
+        environment: WsgiEnvironment,
+        start_response: Callable[[str, list[tuple[str, str]]], object],
+    ) -> Iterator[bytes]:
+        response = self._respond(environment)
+        phrase = get_phrase(response.status)
+        headers = [(header.name, header.text) for header in response.headers]
+        if response.content_type:
+            headers.append(('Content-Type', response.content_type))
+        headers.append(('Content-Length', str(len(response.body))))
+        start_response(f'{response.status} {phrase}', headers)
+        yield response.body
+
+    def _respond(self, environment: WsgiEnvironment) -> HttpResponse:
+        stream = environment['wsgi.input']
+        try:
+            body = stream.read()  # type: ignore[attr-defined]
+        except (OSError, ValueError, TimeoutError):
+            return HttpResponse(
+                HTTPStatus.BAD_REQUEST, b'{"error":"the body is not whole"}'
+            )
+        declared = str(environment.get('CONTENT_LENGTH') or '')
+        if declared and declared != str(len(body)):
+            return HttpResponse(
+                HTTPStatus.BAD_REQUEST, b'{"error":"the body is not whole"}'
+            )
+        if len(body) > self._max_body_bytes:
+            return HttpResponse(
+                HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+                b'{"error":"the body is too large"}',
+            )
+        return self._answer(_read_request(environment, body))
+
+
+def _read_request(environment: WsgiEnvironment, body: bytes) -> HttpRequest:
+    headers = {
+        name[5:].replace('_', '-').lower(): str(text)
+        for name, text in environment.items()
+        if name.startswith('HTTP_')
+    }
+    content_type = str(environment.get('CONTENT_TYPE') or '')
+    if content_type:
+        headers['content-type'] = content_type
+    return HttpRequest(
+        str(environment['REQUEST_METHOD']),
+        str(environment['PATH_INFO']),
+        str(environment.get('QUERY_STRING') or ''),
+        headers,
+        body,
+        str(environment.get('REMOTE_ADDR') or ''),
+    )
+
+
+def get_phrase(status: int) -> str:
+    """Get the reason phrase of a status.
+
+    Args:
+        status: The status, which may be one that no standard knows.
+
+    Returns:
+        The phrase.
+    """
+    try:
+        return HTTPStatus(status).phrase
+    except ValueError:
+        return 'Unknown'
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Split ``host:port``.
+
+    Args:
+        address: The address.
+
+    Returns:
+        Host and port.
+    """
+    host, _, port = address.rpartition(':')
+    return host, int(port)
+
+
+def is_loopback(peer: str) -> bool:
+    """Tell whether a peer is on this machine.
+
+    Args:
+        peer: IP number of the peer.
+
+    Returns:
+        True for a loopback address.
+    """
+    return peer.startswith('127.') or peer == '::1'
+
+
+def find_free_port() -> int:
+    """Find a port that is free on loopback now.
+
+    Returns:
+        The port.
+    """
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        return int(probe.getsockname()[1])
--- /dev/null
+++ b/cumintack/transport/journal.py
@@ -0,0 +1,187 @@
+"""The durable files of a control replica under one data folder.
+
+One frame holds all entries of one write, under one checksum, and the next
+frame is written only after the previous one is synced. A bad frame with a
+good one behind it was therefore synced once, and is corruption; only a bad
+last frame can be a torn write, and it alone is cut. Since the last frame may
+also have been acknowledged before it went bad, the cut is reported, and the
+replica takes no part in elections until a leader has made it whole.
+"""
+
+import os
+import pathlib
+
+from result import Err, Ok, Result
+
+from cumintack.protocol.replication_messages import (
+    DurableState,
+    HardState,
+    LogEntry,
+    Member,
+    Snapshot,
+)
+from cumintack.state.errors import ErrorCode, StepError
+from cumintack.transport import _frames
+from cumintack.transport._frames import FatalDiskError
+
+HARD_STATE_NAME = 'hard-state'
+SNAPSHOT_NAME = 'snapshot'
+LOG_NAME = 'log'
+
+__all__ = ('FatalDiskError', 'Journal')
+
+
+class Journal:
+    """Writes and recovers the durable state of one replica."""
+
+    __slots__ = ('_descriptor', '_folder', '_size')
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        """Use a data folder; it is made if missing."""
+        folder.mkdir(parents=True, exist_ok=True)
+        self._folder = folder
+        self._descriptor = -1
+        self._size = 0
+
+    def is_blank(self) -> bool:
+        """Return whether the folder holds no replica yet."""
+        return not (self._folder / HARD_STATE_NAME).exists()
+
+    def bootstrap(self, member_id: str, members: tuple[Member, ...]) -> None:
+        """Make the first durable state of a control group."""
+        self.write_snapshot(Snapshot(0, 0, members, b''), [])
+        self.write_hard_state(HardState(0, '', member_id))
+
+    def recover(self) -> Result[DurableState, StepError]:
+        """Read everything back and open the log for appending.
+
+        Returns:
+            The durable state, or an error that names file and offset.
+        """
+        hard = _frames.read_record(
+            self._folder / HARD_STATE_NAME,
+            HardState,
+            HardState(),
+        )
+        if isinstance(hard, StepError):
+            return Err(hard)
+        snapshot = _frames.read_record(
+            self._folder / SNAPSHOT_NAME,
+            Snapshot,
+            Snapshot(0, 0, (), b''),
+        )
+        if isinstance(snapshot, StepError):
+            return Err(snapshot)
+        return self._recover_log(hard, snapshot)
+
+    def _recover_log(
+        self,
+        hard: HardState,
+        snapshot: Snapshot,
+    ) -> Result[DurableState, StepError]:
+        path = self._folder / LOG_NAME
+        scan = _frames.scan_frames(path)
+        if scan.error is not None:
+            return Err(scan.error)
+        entries: list[LogEntry] = []
+        for frame in scan.frames:
+            first = frame[0].index
+            entries = [entry for entry in entries if entry.index < first]
+            entries.extend(frame)
+        entries = _drop_covered(entries, snapshot)
+        if entries and entries[0].index != snapshot.last_index + 1:
+            return Err(
+                StepError(
+                    ErrorCode.corrupt,
+                    'journal.recover',
+                    str(path),
+                    f'the log starts at {entries[0].index}, '
+                    f'the snapshot ends at {snapshot.last_index}',
+                ),
+            )
+        self._open(scan.size)
+        if scan.is_tail_cut:
+            os.ftruncate(self._descriptor, scan.size)
+            self.sync()
+        return Ok(DurableState(hard, snapshot, entries, scan.is_tail_cut))
+
+    def _open(self, size: int) -> None:
+        if self._descriptor >= 0:
+            os.close(self._descriptor)
+        self._descriptor = os.open(
+            self._folder / LOG_NAME,
+            os.O_RDWR | os.O_CREAT,
+            _frames.FILE_MODE,
+        )
+        self._size = size
+        _frames.sync_folder(self._folder)
+
+    def get_log_bytes(self) -> int:
+        """Return the size of the log file."""
+        return self._size
+
+    def write_hard_state(self, hard: HardState) -> None:
+        """Write and sync term, vote and identifier."""
+        _frames.write_record(self._folder / HARD_STATE_NAME, hard)
+
+    def append(self, entries: list[LogEntry]) -> None:
+        """Append entries as one frame; they last only after ``sync``.
+
+        Entries that replace earlier ones need no cut: when they are read
+        back, a frame replaces all entries from its first index on.
+
+        Raises:
+            OSError: If the disk is full; the file is as it was before.
+        """
+        frame = _frames.encode_frame(entries)
+        try:
+            _frames.write_at(self._descriptor, frame, self._size)
+        except OSError:
+            os.ftruncate(self._descriptor, self._size)
+            raise
+        self._size += len(frame)
+
+    def sync(self) -> None:
+        """Make all that was appended last.
+
+        Raises:
+            FatalDiskError: If the disk refuses; the process must stop.
+        """
+        _frames.sync_descriptor(self._descriptor)
+
+    def write_snapshot(
+        self,
+        snapshot: Snapshot,
+        entries: list[LogEntry],
+    ) -> None:
+        """Write a snapshot and start a new log with what follows it."""
+        _frames.write_record(self._folder / SNAPSHOT_NAME, snapshot)
+        path = self._folder / LOG_NAME
+        frame = _frames.encode_frame(entries) if entries else b''
+        _frames.replace_file(path, frame)
+        self._open(len(frame))
+
+    def close(self) -> None:
+        """Close the log file."""
+        if self._descriptor >= 0:
+            os.close(self._descriptor)
+            self._descriptor = -1
+
+
+def _drop_covered(
+    entries: list[LogEntry],
+    snapshot: Snapshot,
+) -> list[LogEntry]:
+    """Drop what the snapshot covers, and all of a branch that it replaced.
+
+    A crash between the write of a received snapshot and that of the new log
+    leaves the old log behind it. If the old log holds another entry at the
+    index of the snapshot, what follows there is not part of this history.
+    """
+    is_replaced = any(
+        entry.index == snapshot.last_index and entry.term != snapshot.last_term
+        for entry in entries
+    )
+    if is_replaced:
+        return []
+    return [later for later in entries if later.index > snapshot.last_index]
--- /dev/null
+++ b/cumintack/transport/links.py
@@ -0,0 +1,337 @@
+"""Links between processes over ZeroMQ.
+
+A process listens on one ROUTER socket and dials each known peer with one
+DEALER socket; answers go back over the socket on which the peer dialled. A
+dialled link that answers no probe for a while is closed and dialled afresh,
+because something between the two ends may have forgotten the connection
+while new ones work.
+"""
+
+import collections
+from collections.abc import Callable
+
+import structlog
+import zmq
+from result import Err, Ok
+
+from cumintack.protocol.codec import (
+    MAX_MESSAGE_BYTES,
+    PROTOCOL_VERSION,
+    Envelope,
+    decode_envelope,
+    encode_envelope,
+)
+from cumintack.protocol.messages import Message, Ping, Pong
+from cumintack.state.errors import render_error
+from cumintack.state.events import (
+    EventRing,
+    compute_next_stamp,
+    compute_received_stamp,
+)
+from cumintack.transport.clock import Clock, get_wall_ms
+from cumintack.transport.keys import LinkKeys, secure_client, secure_server
+
+PING_INTERVAL_S = 0.25
+SILENT_AFTER_S = 1.0
+HIGH_WATER_MARK = 20000
+MAX_RECEIVED_PER_POLL = 512
+MAX_ROUTES = 20000
+
+Receiver = Callable[[Envelope], None]
+
+logger = structlog.get_logger()
+
+
+class LinkCounters:
+    """What went over the links of a process."""
+
+    __slots__ = (
+        'bytes_received',
+        'bytes_sent',
+        'dropped',
+        'malformed',
+        'received',
+        'redialled',
+        'sent',
+    )
+
+    def __init__(self) -> None:
+        """Start all counts at zero."""
+        self.sent = 0
+        self.received = 0
+        self.bytes_sent = 0
+        self.bytes_received = 0
+        self.dropped = 0
+        self.malformed = 0
+        self.redialled = 0
+
+
+class DialledLink:
+    """A socket dialled to one peer."""
+
+    __slots__ = ('address', 'heard_at_s', 'peer', 'pinged_at_s', 'socket')
+
+    def __init__(
+        self,
+        peer: str,
+        address: str,
+        socket: zmq.Socket[bytes],
+        now_s: float,
+    ) -> None:
+        """Keep the socket with the time of its last sign of life."""
+        self.peer = peer
+        self.address = address
+        self.socket = socket
+        self.heard_at_s = now_s
+        self.pinged_at_s = float('-inf')
+
+
+class Links:
+    """All links of one process; used by its loop thread only."""
+
+    __slots__ = (
+        '_clock',
+        '_context',
+        '_dialled',
+        '_incarnation',
+        '_keys',
+        '_name',
+        '_poller',
+        '_ring',
+        '_router',
+        '_routes',
+        'counters',
+        'on_route_changed',
+    )
+
+    def __init__(
+        self,
+        name: str,
+        incarnation: str,
+        clock: Clock,
+        ring: EventRing,
+        keys: LinkKeys | None,
+    ) -> None:
+        """Create the links of a process; nothing listens yet."""
+        self._name = name
+        self._incarnation = incarnation
+        self._clock = clock
+        self._ring = ring
+        self._keys = keys
+        self._context = zmq.Context()
+        self._poller = zmq.Poller()
+        self._router: zmq.Socket[bytes] | None = None
+        self._dialled: dict[str, DialledLink] = {}
+        self._routes: collections.OrderedDict[str, bytes] = (
+            collections.OrderedDict()
+        )
+        self.counters = LinkCounters()
+        self.on_route_changed: Callable[[str], None] | None = None
+
+    def listen(self, address: str) -> None:
+        """Listen for peers on ``host:port``."""
+        router = self._context.socket(zmq.ROUTER)
+        _set_options(router)
+        router.setsockopt(zmq.ROUTER_HANDOVER, 1)
+        router.setsockopt(zmq.ROUTER_MANDATORY, 1)
+        if self._keys:
+            secure_server(self._context, router, self._keys)
+        router.bind(f'tcp://{address}')
+        self._router = router
+        self._poller.register(router, zmq.POLLIN)
+
+    def watch(self, descriptor: int) -> None:
+        """Wake from ``receive`` when a file descriptor is readable."""
+        self._poller.register(descriptor, zmq.POLLIN)
+
+    def dial(self, peer: str, address: str) -> None:
+        """Dial a peer, or dial again if its address changed."""
+        known = self._dialled.get(peer)
+        if known is not None:
+            if known.address == address:
+                return
+            self.hang_up(peer)
+        socket = self._context.socket(zmq.DEALER)
+        _set_options(socket)
+        if self._keys:
+            secure_client(socket, self._keys)
+        socket.connect(f'tcp://{address}')
+        self._poller.register(socket, zmq.POLLIN)
+        now_s = self._clock.now_s()
+        self._dialled[peer] = DialledLink(peer, address, socket, now_s)
+
+    def hang_up(self, peer: str) -> None:
+        """Close the link dialled to a peer."""
+        link = self._dialled.pop(peer)
+        self._poller.unregister(link.socket)
+        link.socket.close(linger=0)
+
+    def get_peers(self) -> list[str]:
+        """Return the names of the peers that were dialled."""
+        return list(self._dialled)
+
+    def get_quiet_s(self, peer: str) -> float:
+        """Return for how long a dialled peer has said nothing."""
+        link = self._dialled.get(peer)
+        if link is None:
+            return 0
+        return self._clock.now_s() - link.heard_at_s
+
+    def send(self, peer: str, message: Message) -> bool:
+        """Send a message; false if there is no link or it is full."""
+        ring = self._ring
+        ring.stamp = compute_next_stamp(ring.stamp, get_wall_ms(self._clock))
+        encoded = encode_envelope(
+            Envelope(
+                PROTOCOL_VERSION,
+                self._name,
+                self._incarnation,
+                ring.stamp,
+                message,
+            ),
+        )
+        is_sent = self._send_encoded(peer, encoded)
+        if is_sent:
+            self.counters.sent += 1
+            self.counters.bytes_sent += len(encoded)
+        else:
+            self.counters.dropped += 1
+        return is_sent
+
+    def _send_encoded(self, peer: str, encoded: bytes) -> bool:
+        link = self._dialled.get(peer)
+        try:
+            if link is not None:
+                link.socket.send(encoded, zmq.NOBLOCK)
+                return True
+            identity = self._routes.get(peer)
+            if identity is None or self._router is None:
+                return False
+            self._router.send_multipart((identity, encoded), zmq.NOBLOCK)
+        except zmq.ZMQError:
+            return False
+        return True
+
+    def receive(self, timeout_s: float, receiver: Receiver) -> bool:
+        """Wait for messages and hand them over.
+
+        Args:
+            timeout_s: Longest wait.
+            receiver: Called with each envelope.
+
+        Returns:
+            Whether a watched file descriptor is readable.
+        """
+        is_woken = False
+        for socket, _event in self._poller.poll(int(timeout_s * 1000)):
+            if socket is self._router:
+                self._drain_router(receiver)
+            elif isinstance(socket, zmq.Socket):
+                self._drain_dialled(socket, receiver)
+            else:
+                is_woken = True
+        return is_woken
+
+    def _drain_router(self, receiver: Receiver) -> None:
+        router = self._router
+        if router is None:
+            return
+        for _ in range(MAX_RECEIVED_PER_POLL):
+            try:
+                frames = router.recv_multipart(zmq.NOBLOCK)
+            except zmq.ZMQError:
+                return
+            envelope = self._decode(frames[-1])
+            if envelope is None:
+                continue
+            self._learn_route(envelope.sender, frames[0])
+            if isinstance(envelope.message, Ping):
+                self.send(envelope.sender, Pong(envelope.message.number))
+            receiver(envelope)
+
+    def _learn_route(self, sender: str, identity: bytes) -> None:
+        known = self._routes.get(sender)
+        if known == identity:
+            return
+        self._routes[sender] = identity
+        if len(self._routes) > MAX_ROUTES:
+            self._routes.popitem(last=False)
+        if known is not None and self.on_route_changed:
+            self.on_route_changed(sender)
+
+    def _drain_dialled(
+        self,
+        socket: zmq.Socket[bytes],
+        receiver: Receiver,
+    ) -> None:
+        for _ in range(MAX_RECEIVED_PER_POLL):
+            try:
+                encoded = socket.recv(zmq.NOBLOCK)
+            except zmq.ZMQError:
+                return
+            envelope = self._decode(encoded)
+            if envelope is None:
+                continue
+            link = self._dialled.get(envelope.sender)
+            if link is not None and link.socket is socket:
+                link.heard_at_s = self._clock.now_s()
+            receiver(envelope)
+            if socket.closed:
+                return
+
+    def _decode(self, encoded: bytes) -> Envelope | None:
+        self.counters.received += 1
+        self.counters.bytes_received += len(encoded)
+        match decode_envelope(encoded):
+            case Ok(envelope):
+                self._ring.stamp = compute_received_stamp(
+                    self._ring.stamp,
+                    envelope.stamp,
+                    get_wall_ms(self._clock),
+                )
+                return envelope
+            case Err(error):
+                self.counters.malformed += 1
+                logger.warning(
+                    'links: message dropped',
+                    error=render_error(error),
+                )
+        return None
+
+    def probe(self) -> None:
+        """Send due probes and dial silent links afresh."""
+        now_s = self._clock.now_s()
+        for link in list(self._dialled.values()):
+            if now_s - link.heard_at_s > SILENT_AFTER_S:
+                self._redial(link)
+            elif now_s - link.pinged_at_s >= PING_INTERVAL_S:
+                link.pinged_at_s = now_s
+                self.send(link.peer, Ping(0))
+
+    def _redial(self, link: DialledLink) -> None:
+        self.counters.redialled += 1
+        logger.info('links: redialled silent link', peer=link.peer)
+        self.hang_up(link.peer)
+        self.dial(link.peer, link.address)
+        if self.on_route_changed:
+            self.on_route_changed(link.peer)
+
+    def close(self, linger_s: float) -> None:
+        """Close everything, sending what waits for at most ``linger_s``."""
+        linger_ms = int(linger_s * 1000)
+        for link in self._dialled.values():
+            link.socket.close(linger=linger_ms)
+        if self._router is not None:
+            self._router.close(linger=linger_ms)
+        self._context.term()
+
+
+def _set_options(socket: zmq.Socket[bytes]) -> None:
+    socket.setsockopt(zmq.SNDHWM, HIGH_WATER_MARK)
+    socket.setsockopt(zmq.RCVHWM, HIGH_WATER_MARK)
+    socket.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
+    socket.setsockopt(zmq.LINGER, 0)
+    socket.setsockopt(zmq.IMMEDIATE, 0)
+    socket.setsockopt(zmq.RECONNECT_IVL, 100)
+    socket.setsockopt(zmq.RECONNECT_IVL_MAX, 1000)
+    socket.setsockopt(zmq.CONNECT_TIMEOUT, 1000)
--- /dev/null
+++ b/cumintack/transport/platform_edge.py
@@ -0,0 +1,180 @@
+"""Edge to the platform: the agent of a worker, over HTTP.
+
+The agent keeps leases by its own clock. The guard knows the end of a lease
+by the clock of the guard, so it is turned into the clock of the agent,
+reckoned from the last answer of the agent: when that answer arrived, the
+agent's clock had shown at least the time in it.
+"""
+
+from http import HTTPStatus
+import urllib.parse
+
+import msgspec
+from result import Err, Ok, Result
+
+from cumintack.protocol.worker_actions import (
+    ForgetAttempts,
+    HeldAttempt,
+    RenewAttempts,
+    StartAttempt,
+    StopAttempt,
+    ThrottleAttempt,
+    WorkerAction,
+)
+from cumintack.state.errors import ErrorCode, StepError
+from cumintack.state.resources import Resources
+from cumintack.state.workers import WorkerSpec
+from cumintack.transport.clock import Clock
+from cumintack.transport.http_client import HttpClient
+
+TIMEOUT_S = 2.0
+MAX_REPORT_BYTES = 8388608
+DRIFT_SHARE = 0.01
+MS_PER_S = 1000
+JSON_HEADERS = {'Content-Type': 'application/json'}
+
+
+class WorkerReport(msgspec.Struct, frozen=True):
+    """What the agent of a worker reports.
+
+    Attributes:
+        clock_ms: Monotonic clock of the agent.
+        worker: The worker as the platform describes it.
+        used: Resources in use, measured late.
+        attempts: Everything it holds, ended attempts included.
+    """
+
+    clock_ms: int
+    worker: WorkerSpec
+    used: Resources
+    attempts: list[HeldAttempt]
+
+
+class StartBody(msgspec.Struct, frozen=True):
+    """Body of a start."""
+
+    need: Resources
+    kind: str
+    payload: str
+    checkpoint: str
+    lease_until_ms: int
+
+
+class RenewBody(msgspec.Struct, frozen=True):
+    """Body of a renewal."""
+
+    attempts: list[tuple[str, int]]
+    lease_until_ms: int
+
+
+class ThrottleBody(msgspec.Struct, frozen=True):
+    """Body of a throttle."""
+
+    is_throttled: bool
+
+
+class ForgetBody(msgspec.Struct, frozen=True):
+    """Body of a forget."""
+
+    attempts: list[tuple[str, int]]
+
+
+class PlatformEdge:
+    """The agent of one worker; used by one thread."""
+
+    __slots__ = ('_agent_clock_ms', '_client', '_clock', '_heard_at_s')
+
+    def __init__(self, address: str, clock: Clock) -> None:
+        """Talk to the agent at ``host:port``."""
+        self._client = HttpClient(address, 1, MAX_REPORT_BYTES)
+        self._clock = clock
+        self._agent_clock_ms = 0
+        self._heard_at_s = 0.0
+
+    def fetch_report(self) -> Result[WorkerReport, StepError]:
+        """Fetch the report of the worker."""
+        sent = self._client.send('GET', '/v1/report', {}, b'', TIMEOUT_S)
+        if isinstance(sent, Err):
+            return Err(sent.err_value.error)
+        answer = sent.ok_value
+        try:
+            report = msgspec.json.decode(answer.body, type=WorkerReport)
+        except msgspec.DecodeError as error:
+            return Err(
+                StepError(
+                    ErrorCode.invalid,
+                    'platform.report',
+                    '',
+                    str(error),
+                ),
+            )
+        self._heard_at_s = self._clock.now_s()
+        self._agent_clock_ms = report.clock_ms
+        return Ok(report)
+
+    def perform(self, action: WorkerAction) -> StepError | None:
+        """Have the agent do something; it may be asked again."""
+        match action:
+            case StartAttempt():
+                order = action.order
+                return self._post(
+                    _get_path(order.task_id, order.attempt, 'start'),
+                    StartBody(
+                        order.need,
+                        order.kind,
+                        order.payload,
+                        order.checkpoint,
+                        self._get_lease_end(action.expires_at_s),
+                    ),
+                )
+            case RenewAttempts():
+                return self._post(
+                    '/v1/renew',
+                    RenewBody(
+                        list(action.attempts),
+                        self._get_lease_end(action.expires_at_s),
+                    ),
+                )
+            case StopAttempt():
+                path = _get_path(action.task_id, action.attempt, 'stop')
+                return self._post(path, None)
+            case ThrottleAttempt():
+                path = _get_path(action.task_id, action.attempt, 'throttle')
+                return self._post(path, ThrottleBody(action.is_throttled))
+            case ForgetAttempts():
+                return self._post(
+                    '/v1/forget',
+                    ForgetBody(list(action.attempts)),
+                )
+
+    def _get_lease_end(self, expires_at_s: float) -> int:
+        left_s = (expires_at_s - self._heard_at_s) * (1 - DRIFT_SHARE)
+        return self._agent_clock_ms + int(left_s * MS_PER_S)
+
+    def _post(
+        self,
+        path: str,
+        body: msgspec.Struct | None,
+    ) -> StepError | None:
+        encoded = msgspec.json.encode(body) if body is not None else b'{}'
+        sent = self._client.send('POST', path, JSON_HEADERS, encoded, TIMEOUT_S)
+        if isinstance(sent, Err):
+            return sent.err_value.error
+        answer = sent.ok_value
+        if answer.status == HTTPStatus.OK:
+            return None
+        return StepError(
+            ErrorCode.invalid,
+            'platform.act',
+            path,
+            f'status {answer.status}',
+        )
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._client.close()
+
+
+def _get_path(task_id: str, attempt: int, verb: str) -> str:
+    quoted = urllib.parse.quote(task_id, safe='')
+    return f'/v1/tasks/{quoted}/{attempt}/{verb}'
--- /dev/null
+++ b/cumintack/transport/upstream_edge.py
@@ -0,0 +1,215 @@
+"""Edge to the upstream: announcements in, requests out."""
+
+from http import HTTPStatus
+import concurrent.futures
+from collections.abc import Callable
+
+import msgspec
+from result import Err, Ok
+
+from cumintack.state.errors import ErrorCode, render_error
+from cumintack.state.requests import Answer, OutcomeKind, Request
+from cumintack.transport.clock import Clock
+from cumintack.transport.http_client import HttpClient, SentError
+from cumintack.transport.http_server import HttpRequest, HttpResponse
+
+ANNOUNCE_PATH = '/v1/announce'
+LEAVE_PATH = '/v1/leave'
+
+
+class Announcement(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What an upstream says of itself, again and again.
+
+    Attributes:
+        service: The service that it serves.
+        address: Where it listens, as ``host:port``.
+        slots: Requests that it serves at once.
+    """
+
+    service: str
+    address: str
+    slots: int
+
+
+class LeaveNotice(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What an upstream says before it goes."""
+
+    service: str
+
+
+class UpstreamEdge:
+    """The connections to one upstream and the threads that use them."""
+
+    __slots__ = ('_client', '_clock', '_pool', '_worker', 'address')
+
+    def __init__(
+        self,
+        announcement: Announcement,
+        worker: str,
+        connection_count: int,
+        max_answer_bytes: int,
+        clock: Clock,
+    ) -> None:
+        """Use one thread and one connection for each slot."""
+        self.address = announcement.address
+        self._worker = worker
+        self._clock = clock
+        count = min(announcement.slots, connection_count)
+        self._client = HttpClient(
+            announcement.address,
+            count,
+            max_answer_bytes,
+        )
+        self._pool = concurrent.futures.ThreadPoolExecutor(
+            count,
+            thread_name_prefix='upstream',
+        )
+
+    def send(
+        self,
+        request: Request,
+        attempt: int,
+        timeout_s: float,
+        done: Callable[[Answer], None],
+    ) -> None:
+        """Send a request in a thread, which then calls ``done``."""
+        self._pool.submit(self._exchange, request, attempt, timeout_s, done)
+
+    def _exchange(
+        self,
+        request: Request,
+        attempt: int,
+        timeout_s: float,
+        done: Callable[[Answer], None],
+    ) -> None:
+        started_at_s = self._clock.now_s()
+        headers = {header.name: header.text for header in request.headers}
+        headers['Cumintack-Request-Id'] = request.request_id
+        headers['Cumintack-Attempt'] = str(attempt)
+        try:
+            sent = self._client.send(
+                request.method,
+                request.path,
+                headers,
+                request.body,
+                timeout_s,
+            )
+        except Exception as error:  # noqa: BLE001
+            done(
+                Answer(
+                    request.request_id,
+                    attempt,
+                    self._worker,
+                    OutcomeKind.unknown,
+                    f'{type(error).__name__}: {error}',
+                ),
+            )
+            return
+        served_s = self._clock.now_s() - started_at_s
+        match sent:
+            case Ok(answer):
+                done(
+                    Answer(
+                        request.request_id,
+                        attempt,
+                        self._worker,
+                        OutcomeKind.completed,
+                        '',
+                        answer.status,
+                        answer.headers,
+                        answer.body,
+                        served_s=served_s,
+                    ),
+                )
+            case Err(failure):
+                done(self._create_failed(request, attempt, failure))
+
+    def _create_failed(
+        self,
+        request: Request,
+        attempt: int,
+        failure: SentError,
+    ) -> Answer:
+        kind = OutcomeKind.unknown
+        if failure.is_unsent:
+            kind = OutcomeKind.not_run
+        return Answer(
+            request.request_id,
+            attempt,
+            self._worker,
+            kind,
+            render_error(failure.error),
+        )
+
+    def close(self) -> None:
+        """Let the threads end and close the connections."""
+        self._pool.shutdown(wait=False)
+        self._client.close()
+
+
+def read_announcement(
+    request: HttpRequest,
+    max_slots: int,
+) -> Announcement | str:
+    """Read an announcement.
+
+    Args:
+        request: The HTTP request.
+        max_slots: Most slots that may be announced.
+
+    Returns:
+        The announcement, or what is wrong with it.
+    """
+    try:
+        announcement = msgspec.json.decode(request.body, type=Announcement)
+    except msgspec.DecodeError as error:
+        return str(error)
+    if not 1 <= announcement.slots <= max_slots:
+        return f'slots: must be in 1..{max_slots}'
+    _, _, port = announcement.address.rpartition(':')
+    if not port.isdigit():
+        return 'address: must be host:port'
+    if not announcement.service:
+        return 'service: must not be empty'
+    return announcement
+
+
+def create_error_response(status: int, detail: str) -> HttpResponse:
+    """Create a response that carries an error.
+
+    Args:
+        status: The HTTP status.
+        detail: One sentence.
+
+    Returns:
+        The response with a JSON body.
+    """
+    return HttpResponse(status, msgspec.json.encode({'error': detail}))
+
+
+def get_error_status(code: ErrorCode) -> int:
+    """Get the HTTP status for an error.
+
+    Args:
+        code: The reason.
+
+    Returns:
+        The status.
+    """
+    return ERROR_STATUSES.get(code, HTTPStatus.INTERNAL_SERVER_ERROR)
+
+
+ERROR_STATUSES = {
+    ErrorCode.invalid: HTTPStatus.BAD_REQUEST,
+    ErrorCode.conflict: HTTPStatus.CONFLICT,
+    ErrorCode.not_found: HTTPStatus.NOT_FOUND,
+    ErrorCode.over_quota: HTTPStatus.TOO_MANY_REQUESTS,
+    ErrorCode.impossible: HTTPStatus.UNPROCESSABLE_ENTITY,
+    ErrorCode.expired: HTTPStatus.GONE,
+    ErrorCode.too_large: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+    ErrorCode.forbidden: HTTPStatus.FORBIDDEN,
+    ErrorCode.not_leader: HTTPStatus.SERVICE_UNAVAILABLE,
+    ErrorCode.no_quorum: HTTPStatus.SERVICE_UNAVAILABLE,
+    ErrorCode.unavailable: HTTPStatus.SERVICE_UNAVAILABLE,
+    ErrorCode.timeout: HTTPStatus.GATEWAY_TIMEOUT,
+}
