--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -6,10 +6,16 @@
 
 import pathlib
 import tempfile
+from collections.abc import Callable
 
 import click
 
-from bench import scenario_path
+from bench import scenario_control, scenario_path, scenario_service
+
+
+def _run_in_folder(action: Callable[[pathlib.Path], None]) -> None:
+    with tempfile.TemporaryDirectory() as folder:
+        action(pathlib.Path(folder))
 
 
 @click.group()
@@ -22,8 +28,83 @@
 @click.option('--work-ms', default=5.0)
 def path_command(seconds: float, work_ms: float) -> None:
     """Compare the path through entry and guard with a direct call."""
-    with tempfile.TemporaryDirectory() as folder:
-        scenario_path.run(pathlib.Path(folder), seconds, work_ms)
+    _run_in_folder(
+        lambda folder: scenario_path.run(folder, seconds, work_ms),
+    )
+
+
+@main.command('commits')
+@click.option('--seconds', default=6.0)
+def commits_command(seconds: float) -> None:
+    """Count committed commands a second at 1, 8 and 64 writers."""
+    _run_in_folder(
+        lambda folder: scenario_control.run_commits(folder, seconds),
+    )
+
+
+@main.command('failover')
+def failover_command() -> None:
+    """Time the gap after a kill and a freeze of the leader."""
+    _run_in_folder(scenario_control.run_failover)
+
+
+@main.command('control-faults')
+@click.option('--total', default=100000)
+def control_faults_command(total: int) -> None:
+    """Count commands lost or doubled under kills and freezes."""
+    _run_in_folder(
+        lambda folder: scenario_control.run_faults(folder, total),
+    )
+
+
+@main.command('restart')
+@click.option('--total', default=100000)
+def restart_command(total: int) -> None:
+    """Time the restart of a replica after many commands."""
+    _run_in_folder(
+        lambda folder: scenario_control.run_restart(folder, total),
+    )
+
+
+@main.command('configuration')
+@click.option('--count', default=99)
+def configuration_command(count: int) -> None:
+    """Time a change of configuration until all processes have it."""
+    _run_in_folder(
+        lambda folder: scenario_control.run_configuration(folder, count),
+    )
+
+
+SHAPE = click.Choice(sorted(scenario_service.SHAPES))
+
+
+@main.command('overload')
+@click.option('--shape', type=SHAPE, default='guild')
+@click.option('--seconds', default=8.0)
+def overload_command(shape: str, seconds: float) -> None:
+    """Load with half to three times the capacity, beside the baseline."""
+    _run_in_folder(
+        lambda folder: scenario_service.run_overload(folder, shape, seconds),
+    )
+
+
+@main.command('degraded')
+@click.option('--shape', type=SHAPE, default='guild')
+@click.option('--seconds', default=8.0)
+def degraded_command(shape: str, seconds: float) -> None:
+    """Run at half load with one fault at a time, beside the baseline."""
+    _run_in_folder(
+        lambda folder: scenario_service.run_degraded(folder, shape, seconds),
+    )
+
+
+@main.command('service-faults')
+@click.option('--total', default=200000)
+def service_faults_command(total: int) -> None:
+    """Send requests of all kinds under all faults, judged by ledgers."""
+    _run_in_folder(
+        lambda folder: scenario_service.run_faults(folder, total),
+    )
 
 
 if __name__ == '__main__':
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -67,6 +67,10 @@
         """Let a frozen process go on."""
         self._process.send_signal(signal.SIGCONT)
 
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal to the process."""
+        self._process.send_signal(number)
+
     def kill(self) -> None:
         """Kill the process at once."""
         self._process.kill()
--- /dev/null
+++ b/bench/scenario_control.py
@@ -0,0 +1,312 @@
+"""The control group: throughput, fail-over, configuration, restart."""
+
+import os
+import pathlib
+import random
+import tempfile
+import time
+
+import msgspec
+
+from bench.deployments import GUILD, Deployment
+from bench.load import compute_percentiles_ms
+from bench.running import print_line, print_table
+from bench.writers import Writers
+from cumintack.coordination.querying import Cell
+from cumintack.transport.journal import Journal
+
+SHAPE = msgspec.structs.replace(GUILD, workers=0, entries=1)
+FLOOR_BYTES = 512
+WRITE_PAUSE_S = 0.005
+FAULT_ROUNDS = 5
+SETTLE_S = 3.0
+
+
+def measure_floor(count: int) -> tuple[float, float]:
+    """Measure bare synced appends on this disk.
+
+    Args:
+        count: Appends.
+
+    Returns:
+        p50 and p99 in ms.
+    """
+    latencies_us = []
+    block = b'x' * FLOOR_BYTES
+    with tempfile.NamedTemporaryFile() as target:
+        for _ in range(count):
+            started_s = time.monotonic()
+            os.write(target.fileno(), block)
+            os.fdatasync(target.fileno())
+            took_s = time.monotonic() - started_s
+            latencies_us.append(int(took_s * 1000000))
+    percentiles = compute_percentiles_ms(latencies_us)
+    return (percentiles[0], percentiles[1])
+
+
+def run_commits(folder: pathlib.Path, seconds: float) -> None:
+    """Measure committed commands a second at 1, 8 and 64 writers.
+
+    Args:
+        folder: Where logs and data go.
+        seconds: Length of each load.
+    """
+    floor = measure_floor(300)
+    print_line(f'floor: synced append p50 {floor[0]} ms, p99 {floor[1]} ms')
+    deployment = Deployment(SHAPE, folder)
+    deployment.start()
+    rows: list[tuple[Cell, ...]] = []
+    try:
+        for count in (1, 8, 64):
+            writers = Writers(deployment.controls, count, 10**9)
+            writers.start()
+            time.sleep(1)
+            started = len(writers.done_at_s)
+            leader = deployment.processes[deployment.get_leader()]
+            before = leader.read_usage()
+            time.sleep(seconds)
+            done = len(writers.done_at_s) - started
+            after = leader.read_usage()
+            writers.stop()
+            latencies = compute_percentiles_ms(writers.latencies_us)
+            cpu_s = after.cpu_s - before.cpu_s
+            rows.append(
+                (
+                    count,
+                    round(done / seconds, 1),
+                    *latencies,
+                    round(1000000 * cpu_s / max(1, done), 1),
+                    sum(writer.broken for writer in writers.writers),
+                ),
+            )
+    finally:
+        deployment.stop()
+    print_table(
+        'Committed commands, 3 synced replicas',
+        (
+            'writers',
+            'commands/s',
+            'p50 ms',
+            'p99 ms',
+            'p99.9 ms',
+            'leader us/command',
+            'broken',
+        ),
+        rows,
+    )
+
+
+def run_failover(folder: pathlib.Path) -> None:
+    """Measure the time without a leader after a kill and after a freeze.
+
+    Args:
+        folder: Where logs and data go.
+    """
+    deployment = Deployment(SHAPE, folder)
+    deployment.start()
+    writers = Writers(deployment.controls, 8, 10**9, WRITE_PAUSE_S)
+    rows: list[tuple[Cell, ...]] = []
+    try:
+        writers.start()
+        time.sleep(SETTLE_S)
+        for fault in ('kill -9', 'SIGSTOP'):
+            gaps = [
+                _cause_fault(deployment, writers, fault)
+                for _ in range(FAULT_ROUNDS)
+            ]
+            gaps.sort()
+            rows.append(
+                (
+                    fault,
+                    FAULT_ROUNDS,
+                    round(gaps[0], 3),
+                    round(gaps[FAULT_ROUNDS // 2], 3),
+                    round(gaps[-1], 3),
+                ),
+            )
+    finally:
+        writers.stop()
+        deployment.stop()
+    broken = sum(writer.broken for writer in writers.writers)
+    print_table(
+        f'Longest time without a commit ({len(writers.done_at_s)} commands, '
+        f'{broken} lost or doubled)',
+        ('fault of the leader', 'rounds', 'least s', 'median s', 'most s'),
+        rows,
+    )
+
+
+def _cause_fault(
+    deployment: Deployment,
+    writers: Writers,
+    fault: str,
+) -> float:
+    name = deployment.get_leader()
+    process = deployment.processes[name]
+    index = [control.name for control in deployment.controls].index(name)
+    from_s = time.monotonic()
+    if fault == 'SIGSTOP':
+        process.pause()
+    else:
+        process.kill()
+    time.sleep(SETTLE_S)
+    until_s = time.monotonic()
+    if fault == 'SIGSTOP':
+        process.resume()
+    else:
+        deployment.start_daemon(deployment.controls[index], 'control', index)
+    time.sleep(SETTLE_S)
+    return writers.find_longest_gap_s(from_s, until_s)
+
+
+def run_faults(folder: pathlib.Path, total: int) -> None:
+    """Write under kills and freezes; nothing may be lost or doubled.
+
+    Args:
+        folder: Where logs and data go.
+        total: Commands to commit.
+    """
+    deployment = Deployment(SHAPE, folder)
+    deployment.start()
+    generator = random.Random(7)
+    writers = Writers(deployment.controls, 64, total)
+    faults = 0
+    try:
+        writers.start()
+        while len(writers.done_at_s) < total:
+            writers.wait(2.0)
+            _cause_any(deployment, generator)
+            faults += 1
+        writers.stop()
+        lost = _count_lost(deployment, writers)
+    finally:
+        deployment.stop()
+    broken = sum(writer.broken for writer in writers.writers)
+    unanswered = sum(writer.unanswered for writer in writers.writers)
+    print_table(
+        'Commands under kills and freezes of any replica',
+        ('commands', 'faults', 'lost', 'broken chains', 'unanswered'),
+        [(len(writers.done_at_s), faults, lost, broken, unanswered)],
+    )
+
+
+def _cause_any(deployment: Deployment, generator: random.Random) -> None:
+    index = generator.randrange(len(deployment.controls))
+    control = deployment.controls[index]
+    process = deployment.processes[control.name]
+    if generator.randrange(2):
+        process.kill()
+        time.sleep(generator.random())
+        deployment.start_daemon(control, 'control', index)
+    else:
+        process.pause()
+        time.sleep(1.5 * generator.random())
+        process.resume()
+
+
+def _count_lost(deployment: Deployment, writers: Writers) -> int:
+    rows = deployment.query(
+        'select key, version from config where key ~ note.w'
+    )
+    versions = {str(row[0]): row[1] for row in rows.rows}
+    lost = 0
+    for writer in writers.writers:
+        found = versions.get(f'note.w{writer.number}', 0)
+        is_known = isinstance(found, int) and found >= writer.version
+        lost += int(not is_known)
+    return lost
+
+
+def run_restart(folder: pathlib.Path, total: int) -> None:
+    """Measure the restart of a replica after many commands.
+
+    Args:
+        folder: Where logs and data go.
+        total: Commands before the restart.
+    """
+    deployment = Deployment(SHAPE, folder)
+    deployment.start()
+    writers = Writers(deployment.controls, 64, total)
+    writers.start()
+    writers.wait(total / 1000)
+    writers.stop()
+    leader = deployment.get_leader()
+    names = [control.name for control in deployment.controls]
+    index = next(number for number, name in enumerate(names) if name != leader)
+    name = names[index]
+    process = deployment.processes[name]
+    process.terminate()
+    process.wait()
+    started_s = time.monotonic()
+    deployment.start_daemon(deployment.controls[index], 'control', index)
+    text = (
+        f'select replica from replicas where replica = {name} '
+        'and lag <= 0 and silent_s < 0.3'
+    )
+    deployment.wait_for(deployment.api, text, 1)
+    caught_up_s = time.monotonic() - started_s
+    deployment.stop()
+    data_folder = folder / f'data-{name}'
+    started_s = time.monotonic()
+    journal = Journal(data_folder)
+    journal.recover()
+    recovered_s = time.monotonic() - started_s
+    size_mb = sum(path.stat().st_size for path in data_folder.iterdir()) / 1e6
+    print_table(
+        f'Restart of a follower after {len(writers.done_at_s)} commands',
+        ('start to caught up s', 'of it reading the disk s', 'disk mb'),
+        [(round(caught_up_s, 2), round(recovered_s, 3), round(size_mb, 1))],
+    )
+
+
+def run_configuration(folder: pathlib.Path, count: int) -> None:
+    """Measure until a change is in force in many processes.
+
+    Args:
+        folder: Where logs and data go.
+        count: Processes with the role of a guard.
+    """
+    shape = msgspec.structs.replace(SHAPE, workers=count)
+    deployment = Deployment(shape, folder)
+    for index, control in enumerate(deployment.controls):
+        deployment.start_daemon(control, 'control', index)
+    for index, entry in enumerate(deployment.entries):
+        deployment.start_daemon(entry, 'entry', index)
+    for index, worker in enumerate(deployment.workers):
+        deployment.start_daemon(worker, 'guard', index)
+    times = []
+    total = count + 1
+    try:
+        deployment.wait_for(deployment.api, 'select node from nodes', total)
+        for number in range(10):
+            started_s = time.monotonic()
+            deployment.command(f'set note.round = {number}')
+            _wait_in_force(deployment, total)
+            times.append(time.monotonic() - started_s)
+            time.sleep(0.3)
+    finally:
+        deployment.stop()
+    times.sort()
+    print_table(
+        f'Change of configuration until {total} processes report it',
+        ('changes', 'least s', 'median s', 'most s'),
+        [
+            (
+                len(times),
+                round(times[0], 3),
+                round(times[len(times) // 2], 3),
+                round(times[-1], 3),
+            ),
+        ],
+    )
+
+
+def _wait_in_force(deployment: Deployment, total: int) -> None:
+    deadline_s = time.monotonic() + 30
+    while time.monotonic() < deadline_s:
+        rows = deployment.query(
+            f'select node from nodes where lag <= 0 limit {total + 10}',
+        )
+        if len(rows.rows) >= total:
+            return
+        time.sleep(0.02)
--- /dev/null
+++ b/bench/writers.py
@@ -0,0 +1,165 @@
+"""Writers that keep commands in flight to the control group.
+
+Each writer sets its own key, every time on the condition that the key is
+still at the version of its last success. A command that was lost or applied
+twice breaks that chain, and the writer sees it at once.
+"""
+
+import threading
+import time
+
+import msgspec
+
+from bench.deployments import Address
+from cumintack.daemon.node import CallReply, Node
+from cumintack.daemon.settings import PeerSettings, Settings
+from cumintack.protocol.messages import Propose, Proposed
+from cumintack.state.commands import (
+    Command,
+    ConfigurationChange,
+    SetConfiguration,
+)
+from cumintack.transport.clock import SystemClock
+from cumintack.transport.http_server import find_free_port
+
+CALL_TIMEOUT_S = 60.0
+STOP_WAIT_S = 70.0
+
+
+class Writer(msgspec.Struct):
+    """One writer.
+
+    Attributes:
+        number: Its number, which names its key and session.
+        sequence: Commands so far.
+        version: Version of its key after its last success.
+        broken: Successes or conflicts that contradict its chain.
+        unanswered: Commands given up.
+    """
+
+    number: int
+    sequence: int = 0
+    version: int = 0
+    broken: int = 0
+    unanswered: int = 0
+
+
+class Writers:
+    """Writers in one light process of their own kind, without a role."""
+
+    __slots__ = (
+        '_is_stopping',
+        '_limit',
+        '_node',
+        '_pause_s',
+        '_sent_at_s',
+        '_thread',
+        'done_at_s',
+        'latencies_us',
+        'writers',
+    )
+
+    def __init__(
+        self,
+        controls: list[Address],
+        count: int,
+        limit: int,
+        pause_s: float = 0.0,
+    ) -> None:
+        """Prepare ``count`` writers that stop after ``limit`` commands."""
+        peers = tuple(
+            PeerSettings(control.name, control.link) for control in controls
+        )
+        settings = Settings(
+            f'writers-{find_free_port()}',
+            'north-yard',
+            f'127.0.0.1:{find_free_port()}',
+            peers,
+        )
+        self._node = Node(settings, SystemClock(), None)
+        self._limit = limit
+        self._pause_s = pause_s
+        self._is_stopping = False
+        self._sent_at_s: dict[int, float] = {}
+        self.writers = [Writer(number) for number in range(count)]
+        self.done_at_s: list[float] = []
+        self.latencies_us: list[int] = []
+        self._thread = threading.Thread(target=self._node.run)
+
+    def start(self) -> None:
+        """Start to write."""
+        self._node.start()
+        self._thread.start()
+        for writer in self.writers:
+            self._post_write(writer)
+
+    def _post_write(self, writer: Writer) -> None:
+        self._node.post(lambda: self._write(writer))
+
+    def _write(self, writer: Writer) -> None:
+        if self._is_stopping or len(self.done_at_s) >= self._limit:
+            return
+        writer.sequence += 1
+        self._sent_at_s[writer.number] = time.monotonic()
+        change = ConfigurationChange(
+            f'note.w{writer.number}',
+            writer.sequence,
+            writer.version,
+        )
+        command = Command(
+            f'{self._node.settings.name}.{writer.number}',
+            writer.sequence,
+            'bench',
+            0,
+            SetConfiguration((change,)),
+        )
+        self._node.call(
+            lambda call_id: Propose(call_id, command),
+            CALL_TIMEOUT_S,
+            lambda reply: self._take(writer, reply),
+        )
+
+    def _take(self, writer: Writer, reply: CallReply | None) -> None:
+        now_s = time.monotonic()
+        took_s = now_s - self._sent_at_s[writer.number]
+        if not isinstance(reply, Proposed) or reply.outcome is None:
+            writer.unanswered += 1
+        elif reply.outcome.error is not None:
+            writer.broken += 1
+            writer.version = reply.outcome.error.version
+        else:
+            writer.version = reply.outcome.index
+            self.done_at_s.append(now_s)
+            self.latencies_us.append(int(took_s * 1000000))
+        if self._pause_s:
+            timer = threading.Timer(
+                self._pause_s,
+                self._post_write,
+                (writer,),
+            )
+            timer.start()
+            return
+        self._write(writer)
+
+    def wait(self, timeout_s: float) -> None:
+        """Wait until all commands are done, or time is over."""
+        deadline_s = time.monotonic() + timeout_s
+        while time.monotonic() < deadline_s:
+            if len(self.done_at_s) >= self._limit:
+                return
+            time.sleep(0.01)
+
+    def stop(self) -> None:
+        """Stop to write and wait for open commands."""
+        self._is_stopping = True
+        deadline_s = time.monotonic() + STOP_WAIT_S
+        while self._node.calls.calls and time.monotonic() < deadline_s:
+            time.sleep(0.05)
+        self._node.post(self._node.begin_stop)
+        self._thread.join(timeout=5)
+
+    def find_longest_gap_s(self, from_s: float, until_s: float) -> float:
+        """Find the longest time without a success in a span."""
+        inside = [at_s for at_s in self.done_at_s if from_s <= at_s <= until_s]
+        marks = [from_s, *inside, until_s]
+        return max(later - earlier for earlier, later in zip(marks, marks[1:]))
--- a/cumintack/conftest.py
+++ b/cumintack/conftest.py
@@ -18,6 +18,11 @@
     max_examples=int(os.environ.get('CUMINTACK_EXAMPLES', '2000')),
     stateful_step_count=80,
     suppress_health_check=list(hypothesis.HealthCheck),
+    phases=(
+        hypothesis.Phase.explicit,
+        hypothesis.Phase.reuse,
+        hypothesis.Phase.generate,
+    ),
     print_blob=True,
 )
 hypothesis.settings.load_profile(
--- a/cumintack/coordination/_placement_index.py
+++ b/cumintack/coordination/_placement_index.py
@@ -29,7 +29,7 @@
     is_accepting,
 )
 
-EVICTABLE = frozenset((TaskStatus.placed, TaskStatus.running))
+EVICTABLE = frozenset((TaskStatus.running,))
 
 
 class SchedulerSettings(msgspec.Struct, frozen=True):
--- a/cumintack/coordination/_request_steps.py
+++ b/cumintack/coordination/_request_steps.py
@@ -16,6 +16,7 @@
     EntryState,
     LatencyEstimate,
     PendingRequest,
+    Policy,
     Stage,
 )
 from cumintack.state.claims import RecordedAnswer
@@ -99,13 +100,7 @@
     request = pending.request
     used = {attempt.worker for attempt in pending.attempts.values()}
     candidates = state.by_service.get(request.service, [])
-    guard = guards.choose_guard(
-        candidates,
-        state.data_centre,
-        used,
-        state.generator,
-        now_s,
-    )
+    guard = _choose(state, candidates, used, now_s)
     if guard is None:
         if has_open_attempt(pending):
             return []
@@ -127,6 +122,26 @@
     ]
 
 
+def _choose(
+    state: EntryState,
+    candidates: list[guards.GuardView],
+    used: set[str],
+    now_s: float,
+) -> guards.GuardView | None:
+    match state.policy:
+        case Policy.round_robin:
+            state.turn += 1
+            return guards.choose_in_turn(candidates, state.turn)
+        case Policy.expected_time:
+            return guards.choose_guard(
+                candidates,
+                state.data_centre,
+                used,
+                state.generator,
+                now_s,
+            )
+
+
 def compute_suspect_s(state: EntryState, service: str) -> float:
     """Compute after which time an attempt is suspected to be stuck.
 
@@ -400,7 +415,8 @@
     pending: PendingRequest,
     now_s: float,
 ) -> bool:
-    if pending.stage is not Stage.open:
+    is_baseline = state.policy is Policy.round_robin
+    if pending.stage is not Stage.open or is_baseline:
         return False
     if pending.has_unknown and not pending.request.is_idempotent:
         return False
@@ -488,7 +504,8 @@
     now_s: float,
 ) -> list[Effect]:
     guard = state.guards.get(attempt.worker)
-    if guard is None or pending.is_struck:
+    is_baseline = state.policy is Policy.round_robin
+    if guard is None or pending.is_struck or is_baseline:
         return []
     pending.is_struck = True
     peers = state.by_service.get(guard.status.service, [])
--- a/cumintack/coordination/effects.py
+++ b/cumintack/coordination/effects.py
@@ -53,6 +53,12 @@
     timeout_s: float
 
 
+class ProposeOwn(msgspec.Struct, frozen=True):
+    """Have the control group commit an operation of the leader itself."""
+
+    operation: Operation
+
+
 class HandOver(msgspec.Struct, frozen=True):
     """Hand an attempt to the upstream."""
 
--- a/cumintack/coordination/entry_state.py
+++ b/cumintack/coordination/entry_state.py
@@ -11,6 +11,17 @@
 from cumintack.state.requests import Request
 
 
+class Policy(enum.Enum):
+    """How an entry chooses guards.
+
+    ``round_robin`` is the baseline: guards in turn, without limits, second
+    attempts or ejection.
+    """
+
+    expected_time = 'expected-time'
+    round_robin = 'round-robin'
+
+
 class Stage(enum.Enum):
     """Where a pending request is."""
 
@@ -97,6 +108,8 @@
         team_in_flight: Requests in flight by service and team.
         team_buckets: Rate of each team.
         latencies: Recent answer times by service.
+        policy: How guards are chosen.
+        turn: Number of the next turn, for the baseline.
     """
 
     name: str
@@ -112,3 +125,5 @@
     team_in_flight: dict[tuple[str, str], int] = {}
     team_buckets: dict[str, Bucket] = {}
     latencies: dict[str, LatencyEstimate] = {}
+    policy: Policy = Policy.expected_time
+    turn: int = 0
--- a/cumintack/coordination/fairness.py
+++ b/cumintack/coordination/fairness.py
@@ -8,7 +8,7 @@
 
 from cumintack.coordination import budget, guards
 from cumintack.coordination.effects import Reply
-from cumintack.coordination.entry_state import EntryState
+from cumintack.coordination.entry_state import EntryState, Policy
 from cumintack.state.configuration import get_number
 from cumintack.state.requests import OutcomeKind, Request
 
@@ -34,6 +34,8 @@
     if not _take_rate(state, request.team, now_s):
         return _refuse(request, 'the team is over its rate', is_over_quota=True)
     known = state.by_service.get(request.service, [])
+    if state.policy is Policy.round_robin and known:
+        return None
     usable = [guard for guard in known if guards.is_open(guard, now_s)]
     if not usable:
         return _refuse(request, 'no upstream serves this')
--- /dev/null
+++ b/cumintack/coordination/fake_workers_test.py
@@ -0,0 +1,368 @@
+"""A leader, guards and workers over a fake network, with an oracle.
+
+The decisions are those of production: leadership, the replicated tables and
+the guard's view of its worker. The workers keep leases by clocks that run at
+slightly different speeds, lose their memory when they restart, and the
+oracle looks at what really runs after every step.
+"""
+
+import random
+
+import msgspec
+
+from cumintack.coordination.effects import Note, ProposeOwn, Send
+from cumintack.coordination.leadership import (
+    LeaderEffect,
+    Leadership,
+    LeadershipSettings,
+    create_leadership,
+    follow,
+    handle_tick,
+    handle_worker,
+)
+from cumintack.coordination.leases import LeaseSettings
+from cumintack.coordination.scheduling import SchedulerSettings
+from cumintack.coordination.worker_tasks import (
+    WorkerTasks,
+    create_reports,
+    list_held,
+    take_orders,
+    take_report,
+    take_started,
+)
+from cumintack.protocol.messages import WorkerOrders, WorkerStatus
+from cumintack.protocol.worker_actions import (
+    ForgetAttempts,
+    HeldAttempt,
+    RenewAttempts,
+    StartAttempt,
+    StopAttempt,
+    ThrottleAttempt,
+    WorkerAction,
+)
+from cumintack.state.commands import Command, Operation, Outcome, SetTeam
+from cumintack.state.jobs import FINAL_STATUSES, JobStatus, TaskStatus
+from cumintack.state.machine import (
+    apply_command,
+    decode_tables,
+    encode_tables,
+)
+from cumintack.state.resources import (
+    ZERO_RESOURCES,
+    Resources,
+    compute_sum,
+    is_within,
+)
+from cumintack.state.tables import ControlTables
+from cumintack.state.workers import WorkerSpec
+
+LEASE = LeaseSettings(lease_s=4.0, drift=0.02, former_leader_s=1.0)
+HOLDS = Resources(4000, 4000, 1)
+QUOTA = Resources(16000, 16000, 8)
+TEAMS = ('alpha', 'beta')
+
+
+class Live(msgspec.Struct):
+    """An attempt on a fake worker."""
+
+    phase: str
+    need: Resources
+    lease_until_s: float
+    progress: int = 0
+    checkpoint: str = ''
+
+
+class FakeWorker:
+    """A worker with its guard; the clock runs at a speed of its own."""
+
+    def __init__(self, name: str, speed: float) -> None:
+        """Start empty."""
+        self.name = name
+        self.speed = speed
+        self.spec = WorkerSpec(name, 'north-yard', f'rack-{name}', HOLDS)
+        self.live: dict[tuple[str, int], Live] = {}
+        self.newest: dict[str, int] = {}
+        self.guard = WorkerTasks(name)
+        self.starts = 0
+        self.incarnation = 'i0'
+
+    def clock(self, now_s: float) -> float:
+        """Return the clock of this worker."""
+        return now_s * self.speed
+
+    def expire(self, now_s: float) -> None:
+        """Stop what runs without a lease."""
+        for live in self.live.values():
+            is_over = self.clock(now_s) >= live.lease_until_s
+            if live.phase == 'running' and is_over:
+                live.phase = 'stopped'
+                live.checkpoint = f'p{live.progress}'
+
+    def act(self, action: WorkerAction, now_s: float) -> None:
+        """Carry out what the guard asks."""
+        match action:
+            case StartAttempt():
+                self._start(action, now_s)
+            case RenewAttempts():
+                for renewed in action.attempts:
+                    self._renew(renewed, action.expires_at_s)
+            case StopAttempt():
+                key = (action.task_id, action.attempt)
+                newest = self.newest.get(action.task_id, 0)
+                self.newest[action.task_id] = max(newest, action.attempt)
+                live = self.live.setdefault(key, Live('absent', HOLDS, 0))
+                if live.phase == 'running':
+                    live.phase = 'stopped'
+                    live.checkpoint = f'p{live.progress}'
+            case ForgetAttempts():
+                for forgotten in action.attempts:
+                    self.live.pop(forgotten, None)
+            case ThrottleAttempt():
+                return
+
+    def _renew(self, key: tuple[str, int], expires_at_s: float) -> None:
+        live = self.live.get(key)
+        if live is not None:
+            live.lease_until_s = max(live.lease_until_s, expires_at_s)
+
+    def _start(self, action: StartAttempt, now_s: float) -> None:
+        order = action.order
+        key = (order.task_id, order.attempt)
+        is_newer = order.attempt > self.newest.get(order.task_id, 0)
+        if key in self.live or not is_newer:
+            return
+        if self.clock(now_s) >= action.expires_at_s:
+            return
+        self.newest[order.task_id] = order.attempt
+        self.starts += 1
+        progress = int(order.checkpoint[1:] or 0) if order.checkpoint else 0
+        self.live[key] = Live(
+            'running',
+            order.need,
+            action.expires_at_s,
+            progress,
+        )
+
+    def list_held(self) -> list[HeldAttempt]:
+        """Return what the agent reports."""
+        return [
+            HeldAttempt(key[0], key[1], live.phase, live.checkpoint)
+            for key, live in self.live.items()
+        ]
+
+    def compute_used(self) -> Resources:
+        """Return what is really in use."""
+        used = ZERO_RESOURCES
+        for live in self.live.values():
+            if live.phase == 'running':
+                used = compute_sum(used, live.need)
+        return used
+
+
+class FakePlatform:
+    """The leader, the workers, and what the oracle must know."""
+
+    def __init__(self, workers: int, seed: int) -> None:
+        """Start with workers that are registered and teams with quotas."""
+        self.now_s = 100.0
+        self.random = random.Random(seed)
+        self.tables = ControlTables()
+        self.index = 0
+        self.term = 0
+        self.completions: dict[str, int] = {}
+        self.statuses: list[tuple[str, int, WorkerStatus]] = []
+        self.orders: list[tuple[str, WorkerOrders]] = []
+        self.workers = {
+            f'w{number}': FakeWorker(
+                f'w{number}',
+                1 + self.random.uniform(-0.008, 0.008),
+            )
+            for number in range(workers)
+        }
+        self.lead = self._create_lead()
+        for team in TEAMS:
+            self.commit(SetTeam(team, QUOTA))
+        for _ in range(2):
+            self.heartbeat_all()
+
+    def _create_lead(self) -> Leadership:
+        self.term += 1
+        return create_leadership(
+            LeadershipSettings(LEASE, SchedulerSettings(keep_after_s=5.0)),
+            self.tables,
+            self.term,
+            self.now_s,
+        )
+
+    def change_leader(self) -> None:
+        """Let another replica lead, from a snapshot of the tables."""
+        self.tables = decode_tables(encode_tables(self.tables))
+        self.lead = self._create_lead()
+
+    def commit(self, operation: Operation) -> Outcome:
+        """Commit an operation and let the leader follow it."""
+        self.index += 1
+        command = Command(f's{self.index}', 1, 'oracle', 0, operation)
+        outcome = apply_command(self.tables, self.index, command)
+        self.run(follow(self.lead, self.tables, operation, outcome))
+        return outcome
+
+    def run(self, effects: list[LeaderEffect]) -> None:
+        """Carry out what the leader decided."""
+        for effect in effects:
+            match effect:
+                case ProposeOwn():
+                    self.commit(effect.operation)
+                case Send():
+                    if isinstance(effect.message, WorkerOrders):
+                        self.orders.append((effect.peer, effect.message))
+                case Note():
+                    continue
+
+    def heartbeat(self, name: str) -> None:
+        """Let a guard look at its worker and send a heartbeat."""
+        worker = self.workers[name]
+        worker.expire(self.now_s)
+        take_report(worker.guard, worker.list_held())
+        sent_at_s = worker.clock(self.now_s)
+        worker.guard.sent_at_s = sent_at_s
+        worker.guard.is_answered = False
+        self.statuses.append(
+            (
+                name,
+                self.term,
+                WorkerStatus(
+                    worker.spec,
+                    worker.incarnation,
+                    sent_at_s,
+                    create_reports(worker.guard),
+                    list_held(worker.guard),
+                    ZERO_RESOURCES,
+                    1.0,
+                    is_reachable=True,
+                ),
+            ),
+        )
+
+    def deliver_status(self, position: int, *, is_repeated: bool) -> None:
+        """Deliver a heartbeat to the leader, late or twice."""
+        name, _term, status = self.statuses[position]
+        if not is_repeated:
+            self.statuses.pop(position)
+        self.run(
+            handle_worker(self.lead, self.tables, name, status, self.now_s),
+        )
+
+    def deliver_orders(self, position: int, *, is_repeated: bool) -> None:
+        """Deliver orders to a guard, late or twice."""
+        name, orders = self.orders[position]
+        if not is_repeated:
+            self.orders.pop(position)
+        worker = self.workers[name]
+        clock_s = worker.clock(self.now_s)
+        worker.expire(self.now_s)
+        for action in take_orders(worker.guard, orders, clock_s):
+            worker.act(action, self.now_s)
+            if isinstance(action, StartAttempt):
+                key = (action.order.task_id, action.order.attempt)
+                if key in worker.live:
+                    take_started(worker.guard, key)
+        self.check()
+
+    def heartbeat_all(self) -> None:
+        """Let every guard exchange one heartbeat with the leader."""
+        for name in self.workers:
+            self.heartbeat(name)
+        while self.statuses:
+            self.deliver_status(0, is_repeated=False)
+        while self.orders:
+            self.deliver_orders(0, is_repeated=False)
+
+    def restart_worker(self, name: str, *, is_forgetful: bool) -> None:
+        """Lose everything that runs on a worker, and perhaps its memory."""
+        worker = self.workers[name]
+        if is_forgetful:
+            worker.newest = {}
+            worker.live = {}
+        for key, live in list(worker.live.items()):
+            if live.phase == 'running':
+                worker.live.pop(key)
+
+    def restart_guard(self, name: str) -> None:
+        """Lose the memory of a guard."""
+        worker = self.workers[name]
+        worker.guard = WorkerTasks(name)
+        worker.incarnation = f'i{self.random.getrandbits(32)}'
+
+    def advance(self, name: str) -> None:
+        """Let tasks on a worker make progress, some to their end."""
+        worker = self.workers[name]
+        worker.expire(self.now_s)
+        for key, live in worker.live.items():
+            if live.phase != 'running':
+                continue
+            live.progress += 1
+            if live.progress >= 3:
+                live.phase = 'completed'
+                count = self.completions.get(key[0], 0)
+                self.completions[key[0]] = count + 1
+
+    def fail(self, name: str) -> None:
+        """Let everything on a worker fail."""
+        worker = self.workers[name]
+        worker.expire(self.now_s)
+        for live in worker.live.values():
+            if live.phase == 'running':
+                live.phase = 'failed'
+
+    def tick(self, passed_s: float) -> None:
+        """Let time pass for all."""
+        self.now_s += passed_s
+        for worker in self.workers.values():
+            worker.expire(self.now_s)
+        self.run(handle_tick(self.lead, self.tables, self.now_s))
+        self.check()
+
+    def check(self) -> None:
+        """Check that nothing runs twice and nothing is overfull."""
+        running: dict[str, str] = {}
+        for worker in self.workers.values():
+            worker.expire(self.now_s)
+            assert is_within(worker.compute_used(), HOLDS), 'overfull'
+            for (task_id, _attempt), live in worker.live.items():
+                if live.phase == 'running':
+                    assert task_id not in running, f'{task_id} runs twice'
+                    running[task_id] = worker.name
+        for reserved in self.tables.derived.reserved.values():
+            assert is_within(reserved, HOLDS), 'overfull by reservation'
+            assert is_within(ZERO_RESOURCES, reserved), 'negative'
+        for task_id, count in self.completions.items():
+            task = self.tables.tasks[task_id]
+            spec = self.tables.jobs[task.job_id].spec
+            assert spec.is_idempotent or count <= 1, f'{task_id} done twice'
+
+    def settle(self) -> None:
+        """End all faults: every job ends, or is held with a reason."""
+        for worker in self.tables.workers.values():
+            assert worker.spec.name in self.workers
+        for _ in range(400):
+            self.tick(0.5)
+            self.heartbeat_all()
+            for name in self.workers:
+                self.advance(name)
+            if self._is_settled():
+                break
+        for task in self.tables.tasks.values():
+            job = self.tables.jobs[task.job_id]
+            is_ended = task.status in FINAL_STATUSES
+            is_held = task.status in {
+                TaskStatus.held,
+                TaskStatus.unconfirmed,
+            }
+            is_held = is_held or job.status is JobStatus.held
+            assert is_ended or is_held, f'{task} of {job} never ended'
+
+    def _is_settled(self) -> bool:
+        return all(
+            task.status in FINAL_STATUSES for task in self.tables.tasks.values()
+        )
--- a/cumintack/coordination/guards.py
+++ b/cumintack/coordination/guards.py
@@ -169,6 +169,20 @@
     return best
 
 
+def choose_in_turn(guards: list[GuardView], turn: int) -> GuardView | None:
+    """Choose a guard in turn, whatever its state.
+
+    Args:
+        guards: The guards of the service.
+        turn: Number of the turn.
+
+    Returns:
+        A guard that is not leaving, or None.
+    """
+    staying = [guard for guard in guards if not guard.status.is_leaving]
+    return staying[turn % len(staying)] if staying else None
+
+
 def _is_candidate(
     guard: GuardView,
     excluded: set[str],
--- /dev/null
+++ b/cumintack/coordination/leadership.py
@@ -0,0 +1,458 @@
+"""What the leader of the control group decides: placements, leases, stops.
+
+Nothing of it is durable: a new leader starts from the replicated tables and
+waits out the leases that its predecessor may have granted.
+"""
+
+import msgspec
+
+from cumintack.coordination.effects import Note, ProposeOwn, Send
+from cumintack.coordination.health import (
+    WorkerHealth,
+    note_reports,
+    take_marks,
+)
+from cumintack.coordination.interference import (
+    InterferenceTable,
+    WorkerSample,
+    compute_reaction,
+    create_weights,
+    take_sample,
+)
+from cumintack.coordination.leases import (
+    LeaseKey,
+    LeaseSettings,
+    LeaseTable,
+    grant,
+    is_occupying,
+    start_term,
+    take_lapsed,
+)
+from cumintack.coordination.scheduling import (
+    Scheduler,
+    SchedulerSettings,
+    create_scheduler,
+    run_pass,
+)
+from cumintack.protocol.messages import (
+    Poke,
+    TaskOrder,
+    WorkerOrders,
+    WorkerStatus,
+)
+from cumintack.state.commands import (
+    Operation,
+    Outcome,
+    PlaceTasks,
+    RegisterWorkers,
+    ReportTasks,
+)
+from cumintack.state.jobs import (
+    TRANSITIONS,
+    ReportKind,
+    Task,
+    TaskReport,
+    TaskStatus,
+)
+from cumintack.state.tables import ControlTables
+
+LAPSE_INTERVAL_S = 0.1
+FORMER_LEADER = 'former leader'
+
+LeaderEffect = Send | ProposeOwn | Note
+
+
+class LeadershipSettings(msgspec.Struct, frozen=True):
+    """Settings of a leader.
+
+    Attributes:
+        lease: Lengths of leases.
+        scheduler: Limits of the scheduler.
+        pass_interval_s: Shortest time between two scheduler passes.
+    """
+
+    lease: LeaseSettings
+    scheduler: SchedulerSettings
+    pass_interval_s: float = 0.02
+
+
+class Leadership(msgspec.Struct):
+    """State of one term of leadership, changed in place.
+
+    Attributes:
+        settings: Settings of a leader.
+        term: The term.
+        leases: Leases of the attempts that occupy workers.
+        scheduler: Index over the tables.
+        health: Failures by worker.
+        interference: What is known of slowdowns.
+        offered: Guard incarnation that was first told to start an attempt.
+        reported: Reports that were proposed and not applied yet.
+        registering: Workers whose registration was proposed.
+        pass_at_s: When the next scheduler pass is due.
+        lapse_at_s: When to look for lapsed leases next.
+    """
+
+    settings: LeadershipSettings
+    term: int
+    leases: LeaseTable
+    scheduler: Scheduler
+    health: WorkerHealth
+    interference: InterferenceTable
+    offered: dict[LeaseKey, str] = {}
+    reported: set[TaskReport] = set()
+    registering: set[str] = set()
+    pass_at_s: float = 0
+    lapse_at_s: float = 0
+
+
+def create_leadership(
+    settings: LeadershipSettings,
+    tables: ControlTables,
+    term: int,
+    now_s: float,
+) -> Leadership:
+    """Start a term: wait out old leases, index the tables.
+
+    Args:
+        settings: Settings of a leader.
+        tables: The replicated state.
+        term: The term.
+        now_s: The time.
+
+    Returns:
+        The state of the term.
+    """
+    leases = LeaseTable(settings.lease)
+    start_term(leases, tables, now_s)
+    offered = {
+        LeaseKey(task.task_id, task.attempt): FORMER_LEADER
+        for task in tables.tasks.values()
+        if task.status is TaskStatus.placed
+    }
+    return Leadership(
+        settings,
+        term,
+        leases,
+        create_scheduler(settings.scheduler, tables),
+        WorkerHealth(),
+        InterferenceTable(),
+        offered,
+    )
+
+
+def handle_worker(
+    lead: Leadership,
+    tables: ControlTables,
+    sender: str,
+    status: WorkerStatus,
+    now_s: float,
+) -> list[LeaderEffect]:
+    """Take the heartbeat of a worker and answer with its orders.
+
+    Args:
+        lead: The leader.
+        tables: The replicated state.
+        sender: The guard that sent it.
+        status: The heartbeat.
+        now_s: The time.
+
+    Returns:
+        The orders, and what is to be recorded.
+    """
+    name = status.worker.name
+    effects: list[LeaderEffect] = []
+    known = tables.workers.get(name)
+    is_new = known is None or known.spec != status.worker
+    if is_new and name not in lead.registering:
+        lead.registering.add(name)
+        effects.append(ProposeOwn(RegisterWorkers((status.worker,))))
+    if not status.is_reachable:
+        return effects
+    effects.extend(_record_reports(lead, tables, status, now_s))
+    effects.extend(_weigh_interference(lead, tables, status, now_s))
+    effects.append(Send(sender, _create_orders(lead, tables, status, now_s)))
+    return effects
+
+
+def _record_reports(
+    lead: Leadership,
+    tables: ControlTables,
+    status: WorkerStatus,
+    now_s: float,
+) -> list[LeaderEffect]:
+    fresh = [
+        report
+        for report in status.reports
+        if report not in lead.reported and _is_applicable(tables, report)
+    ]
+    if not fresh:
+        return []
+    lead.reported.update(fresh)
+    note_reports(lead.health, tables, fresh, now_s)
+    return [ProposeOwn(ReportTasks(tuple(fresh)))]
+
+
+def _is_applicable(tables: ControlTables, report: TaskReport) -> bool:
+    task = tables.tasks.get(report.task_id)
+    if task is None or task.attempt != report.attempt:
+        return False
+    return (task.status, report.kind) in TRANSITIONS
+
+
+def _create_orders(
+    lead: Leadership,
+    tables: ControlTables,
+    status: WorkerStatus,
+    now_s: float,
+) -> WorkerOrders:
+    orders = []
+    names = tables.derived.tasks_by_worker.get(status.worker.name, ())
+    for task_id in sorted(names):
+        task = tables.tasks[task_id]
+        key = LeaseKey(task_id, task.attempt)
+        if _may_hold(lead, tables, task, status):
+            if grant(lead.leases, key, now_s):
+                orders.append(_create_order(lead, tables, task))
+        elif task.status is TaskStatus.stopping:
+            orders.append(_create_order(lead, tables, task))
+    settled = tuple(
+        held for held in status.held if _is_settled(tables, LeaseKey(*held))
+    )
+    return WorkerOrders(
+        lead.term,
+        status.sent_at_s,
+        lead.settings.lease.lease_s,
+        tuple(orders),
+        settled,
+    )
+
+
+def _may_hold(
+    lead: Leadership,
+    tables: ControlTables,
+    task: Task,
+    status: WorkerStatus,
+) -> bool:
+    """Tell whether a worker may go on with an attempt, or start it.
+
+    What ran and is no longer held is not leased again: its lease runs out,
+    also while it is asked to stop, since its stop may never be confirmed.
+    A task that is not idempotent is offered to one incarnation of a guard
+    only, since an earlier one may have started it unseen.
+    """
+    if (task.task_id, task.attempt) in status.held:
+        return True
+    if task.status is not TaskStatus.placed:
+        return False
+    key = LeaseKey(task.task_id, task.attempt)
+    first = lead.offered.setdefault(key, status.incarnation)
+    is_idempotent = tables.jobs[task.job_id].spec.is_idempotent
+    return is_idempotent or first == status.incarnation
+
+
+def _is_settled(tables: ControlTables, key: LeaseKey) -> bool:
+    if is_occupying(tables, key):
+        return False
+    task = tables.tasks.get(key.task_id)
+    if task is None or task.attempt != key.attempt:
+        return True
+    return task.status is not TaskStatus.unconfirmed
+
+
+def _create_order(
+    lead: Leadership,
+    tables: ControlTables,
+    task: Task,
+) -> TaskOrder:
+    spec = tables.jobs[task.job_id].spec
+    throttled = lead.interference.throttled.get(task.worker, frozenset())
+    return TaskOrder(
+        task.task_id,
+        task.attempt,
+        spec.need,
+        spec.kind,
+        spec.payload,
+        task.checkpoint,
+        is_stop=task.status is TaskStatus.stopping,
+        is_throttled=spec.kind in throttled,
+    )
+
+
+def _weigh_interference(
+    lead: Leadership,
+    tables: ControlTables,
+    status: WorkerStatus,
+    now_s: float,
+) -> list[LeaderEffect]:
+    name = status.worker.name
+    running = [
+        tables.tasks[task_id]
+        for task_id in tables.derived.tasks_by_worker.get(name, ())
+    ]
+    kinds = {tables.jobs[task.job_id].spec.kind for task in running}
+    sample = WorkerSample(name, status.quick_slowdown, tuple(sorted(kinds)))
+    take_sample(lead.interference, sample)
+    weights = create_weights(tables.configuration)
+    reaction = compute_reaction(lead.interference, sample, weights, now_s)
+    if reaction.avoided:
+        lead.scheduler.avoided[name] = reaction.avoided
+    elif lead.scheduler.avoided.pop(name, None):
+        tables.derived.changed_workers.add(name)
+        lead.scheduler.blocked.clear()
+    return _evict_for(tables, running, reaction.evicted_kind)
+
+
+def _evict_for(
+    tables: ControlTables,
+    running: list[Task],
+    kind: str,
+) -> list[LeaderEffect]:
+    candidates = [
+        task
+        for task in running
+        if task.status is TaskStatus.running
+        and tables.jobs[task.job_id].spec.kind == kind
+    ]
+    if not candidates:
+        return []
+    cheapest = min(candidates, key=_get_eviction_cost)
+    report = TaskReport(
+        cheapest.task_id,
+        cheapest.attempt,
+        ReportKind.stop_requested,
+        cheapest.worker,
+        detail='slows a service down',
+    )
+    return [ProposeOwn(ReportTasks((report,)))]
+
+
+def _get_eviction_cost(task: Task) -> tuple[int, int]:
+    return (task.evicted_count, -task.attempt)
+
+
+def follow(
+    lead: Leadership,
+    tables: ControlTables,
+    operation: Operation,
+    outcome: Outcome,
+) -> list[LeaderEffect]:
+    """Follow an operation that was applied.
+
+    Args:
+        lead: The leader.
+        tables: The replicated state after it.
+        operation: The operation.
+        outcome: Its outcome.
+
+    Returns:
+        Pokes for guards that have new orders, and events.
+    """
+    match operation:
+        case PlaceTasks():
+            workers = {place.worker for place in operation.placements}
+            pokes = [Send(worker, Poke()) for worker in sorted(workers)]
+            return [*pokes, *_note_placed(tables, outcome.names)]
+        case ReportTasks():
+            lead.reported.difference_update(operation.reports)
+            for report in operation.reports:
+                key = LeaseKey(report.task_id, report.attempt)
+                lead.offered.pop(key, None)
+            return _follow_reports(operation, outcome)
+        case RegisterWorkers():
+            for spec in operation.workers:
+                lead.registering.discard(spec.name)
+    return []
+
+
+def _note_placed(
+    tables: ControlTables,
+    task_ids: tuple[str, ...],
+) -> list[LeaderEffect]:
+    notes: list[LeaderEffect] = []
+    for task_id in task_ids:
+        task = tables.tasks[task_id]
+        detail = f'attempt {task.attempt} on {task.worker}'
+        notes.append(Note('control.placed', task_id, detail))
+    return notes
+
+
+def _follow_reports(
+    operation: ReportTasks,
+    outcome: Outcome,
+) -> list[LeaderEffect]:
+    changed = set(outcome.names)
+    effects: list[LeaderEffect] = []
+    for report in operation.reports:
+        if report.task_id not in changed:
+            continue
+        detail = f'attempt {report.attempt} {report.detail}'.strip()
+        name = f'control.{report.kind.value}'
+        effects.append(Note(name, report.task_id, detail))
+        if report.kind is ReportKind.stop_requested:
+            effects.append(Send(report.worker, Poke()))
+    return effects
+
+
+def handle_tick(
+    lead: Leadership,
+    tables: ControlTables,
+    now_s: float,
+) -> list[LeaderEffect]:
+    """Let time pass: lapsed leases, quarantine, a scheduler pass.
+
+    Args:
+        lead: The leader.
+        tables: The replicated state.
+        now_s: The time.
+
+    Returns:
+        What is to be recorded.
+    """
+    effects: list[LeaderEffect] = []
+    if now_s >= lead.lapse_at_s:
+        lead.lapse_at_s = now_s + LAPSE_INTERVAL_S
+        effects.extend(_report_lapsed(lead, tables, now_s))
+        marks = take_marks(lead.health, tables, now_s)
+        effects.extend(ProposeOwn(mark) for mark in marks)
+    if now_s < lead.pass_at_s:
+        return effects
+    lead.pass_at_s = now_s + lead.settings.pass_interval_s
+    decisions = run_pass(lead.scheduler, tables, now_s)
+    if decisions.placements:
+        effects.append(ProposeOwn(PlaceTasks(tuple(decisions.placements))))
+    if decisions.stops:
+        effects.append(ProposeOwn(ReportTasks(tuple(decisions.stops))))
+    return effects
+
+
+def _report_lapsed(
+    lead: Leadership,
+    tables: ControlTables,
+    now_s: float,
+) -> list[LeaderEffect]:
+    reports = tuple(
+        TaskReport(
+            key.task_id,
+            key.attempt,
+            ReportKind.lapsed,
+            tables.tasks[key.task_id].worker,
+        )
+        for key in take_lapsed(lead.leases, tables, now_s)
+    )
+    return [ProposeOwn(ReportTasks(reports))] if reports else []
+
+
+def handle_unproposed(lead: Leadership, operation: Operation) -> None:
+    """Take note that an operation could not be proposed.
+
+    Args:
+        lead: The leader.
+        operation: The operation, which will be decided upon again.
+    """
+    match operation:
+        case ReportTasks():
+            lead.reported.difference_update(operation.reports)
+        case RegisterWorkers():
+            for spec in operation.workers:
+                lead.registering.discard(spec.name)
--- /dev/null
+++ b/cumintack/coordination/leadership_machine_test.py
@@ -0,0 +1,172 @@
+"""Stateful fuzzing of placement and leases against an oracle."""
+
+import hypothesis.strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+from cumintack.coordination.fake_workers_test import TEAMS, FakePlatform
+from cumintack.state.commands import (
+    CancelJobs,
+    HoldJob,
+    MarkWorker,
+    SubmitJob,
+)
+from cumintack.state.jobs import JobSpec, Priority
+from cumintack.state.resources import Resources
+
+POSITIONS = st.integers(0, 1000)
+WORKERS = st.integers(0, 2)
+NEEDS = st.builds(
+    Resources,
+    st.sampled_from((500, 1000, 2500, 4000)),
+    st.sampled_from((500, 1000, 3000)),
+    st.sampled_from((0, 0, 1)),
+)
+
+
+class LeadershipMachine(RuleBasedStateMachine):
+    """Three workers and a leader under every fault that the brief names."""
+
+    def __init__(self) -> None:
+        """Start the platform."""
+        super().__init__()
+        self.platform = FakePlatform(3, 0)
+
+    @initialize(seed=st.integers(0, 2**16))
+    def begin(self, seed: int) -> None:
+        """Start the platform with its own clocks."""
+        self.platform = FakePlatform(3, seed)
+
+    @rule(
+        need=NEEDS,
+        count=st.integers(1, 4),
+        team=st.sampled_from(TEAMS),
+        priority=st.sampled_from(tuple(Priority)),
+        is_idempotent=st.booleans(),
+    )
+    def submit(
+        self,
+        need: Resources,
+        count: int,
+        team: str,
+        priority: Priority,
+        is_idempotent: bool,
+    ) -> None:
+        """Submit a job."""
+        spec = JobSpec(
+            'job',
+            team,
+            count,
+            need,
+            priority=priority,
+            is_idempotent=is_idempotent,
+        )
+        self.platform.commit(SubmitJob(spec))
+
+    @precondition(lambda self: bool(self.platform.tables.jobs))
+    @rule(choice=POSITIONS)
+    def cancel(self, choice: int) -> None:
+        """Cancel a job."""
+        jobs = list(self.platform.tables.jobs)
+        self.platform.commit(CancelJobs((jobs[choice % len(jobs)],)))
+
+    @precondition(lambda self: bool(self.platform.tables.jobs))
+    @rule(choice=POSITIONS, is_held=st.booleans())
+    def hold(self, choice: int, is_held: bool) -> None:
+        """Hold a job or release it."""
+        jobs = list(self.platform.tables.jobs)
+        job_id = jobs[choice % len(jobs)]
+        self.platform.commit(HoldJob(job_id, is_held, 'by the test'))
+
+    @rule(worker=WORKERS, is_draining=st.booleans())
+    def drain(self, worker: int, is_draining: bool) -> None:
+        """Drain a worker, or end that."""
+        self.platform.commit(MarkWorker(f'w{worker}', is_draining=is_draining))
+
+    @rule(worker=WORKERS)
+    def heartbeat(self, worker: int) -> None:
+        """Send a heartbeat."""
+        self.platform.heartbeat(f'w{worker}')
+
+    @precondition(lambda self: bool(self.platform.statuses))
+    @rule(position=POSITIONS, is_repeated=st.booleans())
+    def deliver_status(self, position: int, is_repeated: bool) -> None:
+        """Deliver a heartbeat late, or twice."""
+        self.platform.deliver_status(
+            position % len(self.platform.statuses),
+            is_repeated=is_repeated,
+        )
+
+    @precondition(lambda self: bool(self.platform.orders))
+    @rule(position=POSITIONS, is_repeated=st.booleans())
+    def deliver_orders(self, position: int, is_repeated: bool) -> None:
+        """Deliver orders late, or twice."""
+        self.platform.deliver_orders(
+            position % len(self.platform.orders),
+            is_repeated=is_repeated,
+        )
+
+    @rule()
+    def lose_all(self) -> None:
+        """Lose everything that is on its way."""
+        self.platform.statuses = []
+        self.platform.orders = []
+
+    @rule()
+    def heartbeat_all(self) -> None:
+        """Let all heartbeats through."""
+        self.platform.heartbeat_all()
+
+    @rule(passed_ms=st.sampled_from((50, 500, 1500, 4500)))
+    def wait(self, passed_ms: int) -> None:
+        """Let time pass."""
+        self.platform.tick(passed_ms / 1000)
+
+    @rule(worker=WORKERS)
+    def advance(self, worker: int) -> None:
+        """Let tasks make progress."""
+        self.platform.advance(f'w{worker}')
+
+    @rule(worker=WORKERS)
+    def fail(self, worker: int) -> None:
+        """Let everything on a worker fail."""
+        self.platform.fail(f'w{worker}')
+
+    @rule(worker=WORKERS, is_forgetful=st.booleans())
+    def restart_worker(self, worker: int, is_forgetful: bool) -> None:
+        """Kill what runs on a worker."""
+        self.platform.restart_worker(
+            f'w{worker}',
+            is_forgetful=is_forgetful,
+        )
+
+    @rule(worker=WORKERS)
+    def restart_guard(self, worker: int) -> None:
+        """Restart a guard without its memory."""
+        self.platform.restart_guard(f'w{worker}')
+
+    @rule()
+    def change_leader(self) -> None:
+        """Let another replica lead."""
+        self.platform.change_leader()
+
+    @invariant()
+    def check(self) -> None:
+        """Check the promises after every step."""
+        self.platform.check()
+
+    def teardown(self) -> None:
+        """End all faults: every job ends, or is held with a reason."""
+        for name in self.platform.workers:
+            self.platform.commit(
+                MarkWorker(name, is_draining=False, is_quarantined=False),
+            )
+        self.platform.settle()
+
+
+TestLeadership = LeadershipMachine.TestCase
--- a/cumintack/coordination/leases.py
+++ b/cumintack/coordination/leases.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from cumintack.state.jobs import OCCUPYING_STATUSES, TaskStatus
+from cumintack.state.jobs import OCCUPYING_STATUSES
 from cumintack.state.tables import ControlTables
 
 
@@ -159,5 +159,4 @@
     task = tables.tasks.get(key.task_id)
     if task is None or task.attempt != key.attempt:
         return False
-    is_counted = task.status in OCCUPYING_STATUSES
-    return is_counted and task.status is not TaskStatus.unconfirmed
+    return task.status in OCCUPYING_STATUSES
--- /dev/null
+++ b/cumintack/coordination/replication/_leading_test.py
@@ -0,0 +1,84 @@
+"""Rules of a leader that fuzzing meets too rarely."""
+
+from cumintack.coordination import replication
+from cumintack.coordination.replication import (
+    Backlog,
+    DurableState,
+    HardState,
+    Replica,
+    ReplicaSettings,
+    Role,
+    Snapshot,
+)
+from cumintack.coordination.replication.fake_cluster_test import FakeDisk
+from cumintack.protocol.replication_messages import (
+    AppendReply,
+    LogEntry,
+    VoteReply,
+)
+
+NOW_S = 10.0
+
+
+def _create_candidate() -> Replica:
+    members = replication.create_first_members(
+        (('a', 'a:1'), ('b', 'b:1'), ('c', 'c:1')),
+    )
+    durable = DurableState(
+        HardState(2, '', 'a.1'),
+        Snapshot(0, 0, members, b''),
+        [LogEntry(1, 1), LogEntry(2, 2)],
+    )
+    replica = replication.create_replica(
+        ReplicaSettings(),
+        durable,
+        NOW_S,
+        1,
+    )
+    replication.handle_tick(replica, NOW_S + 2)
+    for is_trial in (True, False):
+        replication.handle_message(
+            replica,
+            VoteReply(3, 'b.1', 'a.1', is_granted=True, is_trial=is_trial),
+            NOW_S + 2,
+        )
+    assert replica.role is Role.leader
+    return replica
+
+
+def _cycle(replica: Replica) -> None:
+    disk = FakeDisk(replica.hard, replica.snapshot)
+    replication.work_off(
+        replica,
+        Backlog(),
+        disk,
+        lambda _messages: None,
+        NOW_S + 2,
+    )
+
+
+def _accept(replica: Replica, match_index: int) -> None:
+    replication.handle_message(
+        replica,
+        AppendReply(3, 'b.1', 'a.1', True, match_index, 0),
+        NOW_S + 2,
+    )
+
+
+def test_earlier_term_is_not_committed_by_count() -> None:
+    """An entry of an earlier term commits only beneath one of this term."""
+    replica = _create_candidate()
+    _cycle(replica)
+    _accept(replica, 2)
+    assert replica.commit_index == 0
+    _accept(replica, 3)
+    assert replica.commit_index == 3
+
+
+def test_unsynced_entry_is_not_counted() -> None:
+    """A leader counts itself only for what it has synced."""
+    replica = _create_candidate()
+    _accept(replica, 3)
+    assert replica.commit_index == 0
+    _cycle(replica)
+    assert replica.commit_index == 3
--- a/cumintack/coordination/routing.py
+++ b/cumintack/coordination/routing.py
@@ -20,6 +20,7 @@
     AttemptState,
     EntryState,
     PendingRequest,
+    Policy,
     Stage,
 )
 from cumintack.protocol.messages import GuardStatus
@@ -200,6 +201,8 @@
         return []
     peers = state.by_service.get(guard.status.service, [])
     steps.learn_latency(state, guard.status.service, answer.served_s)
+    if state.policy is Policy.round_robin:
+        return []
     if guards.take_answer(guard, answer.served_s, peers, now_s):
         return [Note('entry.ejected', guard.status.worker, 'slow')]
     return []
--- a/cumintack/coordination/worker_tasks.py
+++ b/cumintack/coordination/worker_tasks.py
@@ -29,6 +29,7 @@
     'stopped': ReportKind.stopped,
     'completed': ReportKind.completed,
     'failed': ReportKind.failed,
+    'absent': ReportKind.vanished,
 }
 
 
@@ -42,6 +43,8 @@
         is_answered: Whether that heartbeat was answered.
         held: Attempts as the worker last reported them.
         ended: Highest attempt known to have ended, by task.
+        started: Attempts that the worker said it started.
+        vanished: Of these, those that it no longer reports.
     """
 
     worker: str
@@ -49,6 +52,8 @@
     sent_at_s: float = 0
     is_answered: bool = True
     held: dict[tuple[str, int], HeldAttempt] = {}
+    started: set[tuple[str, int]] = set()
+    vanished: set[tuple[str, int]] = set()
     ended: collections.OrderedDict[str, int] = msgspec.field(
         default_factory=collections.OrderedDict,
     )
@@ -67,6 +72,23 @@
     for attempt in held:
         if attempt.phase != 'running':
             _remember_ended(state, attempt.task_id, attempt.attempt)
+    for key in state.started - state.held.keys():
+        state.vanished.add(key)
+        _remember_ended(state, *key)
+    state.started.intersection_update(state.held)
+
+
+def take_started(state: WorkerTasks, key: tuple[str, int]) -> None:
+    """Take note that the worker started an attempt.
+
+    A report that the worker made later and that lacks the attempt shows that
+    the worker lost it.
+
+    Args:
+        state: The guard's memory.
+        key: Task and attempt.
+    """
+    state.started.add(key)
 
 
 def _remember_ended(state: WorkerTasks, task_id: str, attempt: int) -> None:
@@ -83,9 +105,9 @@
         state: The guard's memory.
 
     Returns:
-        One report for each attempt held.
+        One report for each attempt held or lost.
     """
-    return tuple(
+    reports = [
         TaskReport(
             attempt.task_id,
             attempt.attempt,
@@ -96,7 +118,24 @@
         )
         for attempt in state.held.values()
         if attempt.phase in REPORT_KINDS
+    ]
+    reports.extend(
+        TaskReport(*key, ReportKind.vanished, state.worker)
+        for key in sorted(state.vanished)
     )
+    return tuple(reports)
+
+
+def list_held(state: WorkerTasks) -> tuple[tuple[str, int], ...]:
+    """List the attempts about which the leader should decide.
+
+    Args:
+        state: The guard's memory.
+
+    Returns:
+        Attempts that the worker holds or has lost.
+    """
+    return (*state.held, *sorted(state.vanished))
 
 
 def take_orders(
@@ -182,6 +221,7 @@
     for task_id, attempt in orders.settled:
         held = state.held.get((task_id, attempt))
         _remember_ended(state, task_id, attempt)
+        state.vanished.discard((task_id, attempt))
         if held is not None and held.phase != 'running':
             dropped.append((task_id, attempt))
     if dropped:
--- a/cumintack/daemon/control_part.py
+++ b/cumintack/daemon/control_part.py
@@ -8,7 +8,17 @@
 from result import Err, Ok
 
 from cumintack.coordination import replication
-from cumintack.coordination.effects import Note
+from cumintack.coordination.effects import Note, ProposeOwn, Send
+from cumintack.coordination.leadership import (
+    LeaderEffect,
+    Leadership,
+    LeadershipSettings,
+    create_leadership,
+    follow,
+    handle_tick,
+    handle_unproposed,
+    handle_worker,
+)
 from cumintack.coordination.leases import LeaseSettings
 from cumintack.coordination.querying import (
     NodeView,
@@ -20,7 +30,7 @@
     ReplicaSettings,
     Role,
 )
-from cumintack.daemon.leader import Leader, LeaderContext
+from cumintack.coordination.scheduling import SchedulerSettings
 from cumintack.daemon.node import Node
 from cumintack.daemon.settings import ControlSettings
 from cumintack.protocol.language import Select, parse_statement
@@ -62,6 +72,7 @@
 
 EXIT_DISK_FAILED = 3
 HEX_BASE = 16
+SESSION_SPAN = 32
 REPLICATION_KINDS = (
     AppendReply,
     AppendRequest,
@@ -96,7 +107,8 @@
     """A control replica within a process."""
 
     __slots__ = (
-        '_context',
+        '_leading',
+        '_sequence',
         '_journal',
         '_leader',
         '_last_read_id',
@@ -130,16 +142,16 @@
         self._last_read_id = 0
         self._is_stopping = False
         self._replica = self._recover(is_bootstrap=is_bootstrap)
-        self._context = LeaderContext(
-            node,
-            settings,
+        self._leading = LeadershipSettings(
             LeaseSettings(
                 lease_s=settings.lease_ms / 1000,
                 former_leader_s=settings.election_timeout_ms * 2 / 1000,
             ),
-            self._propose_own,
+            SchedulerSettings(),
+            settings.pass_interval_ms / 1000,
         )
-        self._leader: Leader | None = None
+        self._leader: Leadership | None = None
+        self._sequence = 0
 
     def _recover(self, *, is_bootstrap: bool) -> Replica:
         node = self._node
@@ -188,8 +200,7 @@
             case NodeStatus():
                 self._handle_node(sender, message, now_s)
             case WorkerStatus():
-                if self._leader is not None and self._is_confirmed(now_s):
-                    self._leader.handle_worker(sender, message, now_s)
+                self._handle_worker(sender, message, now_s)
             case Goodbye():
                 self._nodes.pop(message.name, None)
                 return False
@@ -256,9 +267,44 @@
         payload = msgspec.msgpack.encode(command)
         return replication.propose(self._replica, payload, now_s)
 
-    def _propose_own(self, command: Command) -> bool:
+    def _handle_worker(
+        self,
+        sender: str,
+        message: WorkerStatus,
+        now_s: float,
+    ) -> None:
+        lead = self._leader
+        if lead is None or not self._is_confirmed(now_s):
+            return
+        self._run(
+            lead,
+            handle_worker(lead, self._tables, sender, message, now_s),
+        )
+
+    def _run(self, lead: Leadership, effects: list[LeaderEffect]) -> None:
+        for effect in effects:
+            match effect:
+                case Send():
+                    self._node.send(effect.peer, effect.message)
+                case Note():
+                    self._node.note(effect)
+                case ProposeOwn():
+                    self._propose_own(lead, effect)
+
+    def _propose_own(self, lead: Leadership, effect: ProposeOwn) -> None:
+        self._sequence += 1
+        name = self._node.settings.name
+        span = self._sequence // SESSION_SPAN
+        command = Command(
+            f'{name}.{self._node.incarnation}.{span}',
+            self._sequence,
+            name,
+            get_wall_ms(self._node.clock),
+            effect.operation,
+        )
         index = self._propose(command, self._node.clock.now_s())
-        return not isinstance(index, StepError)
+        if isinstance(index, StepError):
+            handle_unproposed(lead, effect.operation)
 
     def _refuse(self, peer: str, call_id: int, error: StepError) -> None:
         self._node.send(
@@ -337,7 +383,8 @@
         self._work_off(now_s)
         self._follow_role(now_s)
         if self._leader is not None:
-            self._leader.tick(self._tables, now_s)
+            effects = handle_tick(self._leader, self._tables, now_s)
+            self._run(self._leader, effects)
             self._work_off(now_s)
         self._dial_members()
 
@@ -385,13 +432,18 @@
             if entry.payload:
                 command = _COMMANDS.decode(entry.payload)
                 outcome = apply_command(self._tables, entry.index, command)
-                if self._leader is not None:
-                    self._leader.follow(self._tables, command, outcome)
+                self._follow(command, outcome)
             self._tables.applied_index = entry.index
             self._answer_waiter(entry, outcome)
         if self._tables.configuration.revision != before:
             self._node.take_configuration(self._tables.configuration)
 
+    def _follow(self, command: Command, outcome: Outcome) -> None:
+        lead = self._leader
+        if lead is not None:
+            effects = follow(lead, self._tables, command.operation, outcome)
+            self._run(lead, effects)
+
     def _answer_waiter(self, entry: LogEntry, outcome: Outcome) -> None:
         waiter = self._waiters.pop(entry.index, None)
         if waiter is None:
@@ -456,8 +508,8 @@
     def _follow_role(self, now_s: float) -> None:
         is_leader = self._is_confirmed(now_s)
         if is_leader and self._leader is None:
-            self._leader = Leader(
-                self._context,
+            self._leader = create_leadership(
+                self._leading,
                 self._tables,
                 self._replica.hard.term,
                 now_s,
--- a/cumintack/daemon/entry_part.py
+++ b/cumintack/daemon/entry_part.py
@@ -16,7 +16,7 @@
     Reply,
     Send,
 )
-from cumintack.coordination.entry_state import EntryState
+from cumintack.coordination.entry_state import EntryState, Policy
 from cumintack.daemon.admin import Admin
 from cumintack.daemon.node import CallHandler, CallReply, Node
 from cumintack.daemon.settings import EntrySettings
@@ -97,6 +97,7 @@
             node.settings.data_centre,
             random.Random(secrets.randbits(SEED_BITS)),
             Bucket(FIRST_RETRY_TOKENS, node.clock.now_s()),
+            policy=Policy(settings.policy),
         )
         self._admin = Admin(node, self.state)
         self._server = HttpServer(
--- a/cumintack/daemon/guard_part.py
+++ b/cumintack/daemon/guard_part.py
@@ -2,6 +2,7 @@
 
 from http import HTTPStatus
 import concurrent.futures
+from collections.abc import Callable
 
 import msgspec
 import structlog
@@ -17,8 +18,10 @@
 from cumintack.coordination.worker_tasks import (
     WorkerTasks,
     create_reports,
+    list_held,
     take_orders,
     take_report,
+    take_started,
 )
 from cumintack.daemon.node import Node
 from cumintack.daemon.settings import GuardSettings, get_worker_needs
@@ -31,7 +34,7 @@
     WorkerOrders,
     WorkerStatus,
 )
-from cumintack.protocol.worker_actions import WorkerAction
+from cumintack.protocol.worker_actions import StartAttempt, WorkerAction
 from cumintack.state.configuration import Configuration
 from cumintack.state.errors import StepError, render_error
 from cumintack.state.requests import (
@@ -350,7 +353,7 @@
                 self._node.incarnation,
                 now_s,
                 create_reports(self._tasks),
-                tuple(self._tasks.held),
+                list_held(self._tasks),
                 report.used,
                 compute_slowdown(self._meter, now_s),
                 is_reachable=True,
@@ -378,8 +381,14 @@
                     'guard: worker refused',
                     error=render_error(error),
                 )
+            elif isinstance(action, StartAttempt):
+                self._node.post(self._create_started(action))
         self._node.post(self._hurry_report)
 
+    def _create_started(self, action: StartAttempt) -> Callable[[], None]:
+        key = (action.order.task_id, action.order.attempt)
+        return lambda: take_started(self._tasks, key)
+
     def _hurry_report(self) -> None:
         self._report_at_s = min(
             self._report_at_s,
--- a/cumintack/demo/sample_upstream.py
+++ b/cumintack/demo/sample_upstream.py
@@ -15,6 +15,7 @@
 import click
 import msgspec
 
+from cumintack.state.requests import Header
 from cumintack.transport.http_client import HttpClient
 from cumintack.transport.http_server import (
     HttpRequest,
@@ -75,6 +76,7 @@
     """The stand-in: a server, a ledger and an announcer."""
 
     __slots__ = (
+        '_announced',
         '_at_once',
         '_behaviour',
         '_generator',
@@ -96,9 +98,11 @@
         service: str,
         slots: int,
         behaviour: Behaviour,
+        announced: str = '',
     ) -> None:
         """Serve at ``address``, announced to the guard if there is one."""
         self.guard_address = guard_address
+        self._announced = announced
         self._service = service
         self._slots = slots
         self._behaviour = behaviour
@@ -150,7 +154,11 @@
     def _announce(self) -> None:
         client = HttpClient(self.guard_address, 1, MAX_ANSWER_BYTES)
         body = msgspec.json.encode(
-            Announcement(self._service, self.get_address(), self._slots),
+            Announcement(
+                self._service,
+                self._announced or self.get_address(),
+                self._slots,
+            ),
         )
         is_stopped = False
         while not is_stopped:
@@ -186,7 +194,15 @@
             with self._lock:
                 self._at_once -= 1
         body = b'{"answer_to":"%s"}' % identity.encode()
-        return HttpResponse(HTTPStatus.OK, body)
+        if not self._behaviour.is_short:
+            return HttpResponse(HTTPStatus.OK, body)
+        declared = Header('Content-Length', str(len(body) * 2))
+        return HttpResponse(
+            HTTPStatus.OK,
+            body,
+            (declared,),
+            is_length_given=True,
+        )
 
     def _spend(self) -> None:
         behaviour = self._behaviour
@@ -203,6 +219,7 @@
 @click.option('--slots', default=8)
 @click.option('--work-ms', default=DEFAULT_WORK_MS)
 @click.option('--spread', default=0.5)
+@click.option('--announced', default='')
 def main(
     address: str,
     guard_address: str,
@@ -210,6 +227,7 @@
     slots: int,
     work_ms: float,
     spread: float,
+    announced: str,
 ) -> None:
     """Run the stand-in for an upstream until it is told to stop."""
     upstream = SampleUpstream(
@@ -218,6 +236,7 @@
         service,
         slots,
         Behaviour(work_ms, spread),
+        announced,
     )
     stopped = threading.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/cumintack/demo/sample_worker.py
+++ b/cumintack/demo/sample_worker.py
@@ -233,7 +233,7 @@
         if attempt is None:
             self._newest[key[0]] = max(key[1], self._newest.get(key[0], 0))
             attempt = RunningAttempt(
-                HeldAttempt(key[0], key[1], 'stopped'),
+                HeldAttempt(key[0], key[1], 'absent'),
                 ZERO_RESOURCES,
                 0,
                 0,
--- a/cumintack/protocol/worker_actions.py
+++ b/cumintack/protocol/worker_actions.py
@@ -11,7 +11,8 @@
     Attributes:
         task_id: The task.
         attempt: Its fencing number.
-        phase: ``running``, ``stopped``, ``completed`` or ``failed``.
+        phase: ``running``, ``stopped``, ``completed``, ``failed``, or
+            ``absent`` for one that it was told to stop and did not know.
         checkpoint: Latest checkpoint.
         detail: Why it failed.
         is_throttled: Whether it is slowed down.
--- a/cumintack/state/_scheduling.py
+++ b/cumintack/state/_scheduling.py
@@ -275,7 +275,10 @@
     index: int,
     operation: HoldJob,
 ) -> Outcome:
-    """Hold a job or release it; a release also frees its held tasks.
+    """Hold a job or release it.
+
+    A release also returns its held tasks to the queue, and those that are in
+    doubt: the operator has decided that they may run again.
 
     Args:
         tables: The state, changed in place.
@@ -297,12 +300,14 @@
     for number in range(job.spec.task_count):
         task = tables.tasks[f'{job.job_id}/{number}']
         tables.derived.changed_tasks.add(task.task_id)
-        if task.status is TaskStatus.held and not operation.is_held:
+        is_stuck = task.status in {TaskStatus.held, TaskStatus.unconfirmed}
+        if is_stuck and not operation.is_held:
             _store(
                 tables,
                 msgspec.structs.replace(
                     task,
                     status=TaskStatus.pending,
+                    worker='',
                     failed_on=(),
                 ),
             )
@@ -394,7 +399,11 @@
     after = compute_reported_task(task, report, job.spec.is_idempotent)
     if after is task:
         return False
-    is_back = after.status in {TaskStatus.pending, TaskStatus.held}
+    is_back = after.status in {
+        TaskStatus.pending,
+        TaskStatus.held,
+        TaskStatus.unconfirmed,
+    }
     if is_back and job.status is JobStatus.cancelled:
         after = msgspec.structs.replace(after, status=TaskStatus.cancelled)
     _store(tables, after)
@@ -402,6 +411,8 @@
         _count_completed(tables, job)
     elif after.status is TaskStatus.held:
         _hold_failing(tables, job, report)
+    elif after.status is TaskStatus.unconfirmed:
+        _note_doubt(tables, job, report)
     return True
 
 
@@ -426,6 +437,14 @@
     )
 
 
+def _note_doubt(tables: ControlTables, job: Job, report: TaskReport) -> None:
+    reason = (
+        f'{report.task_id} is not idempotent and ended in doubt on '
+        f'{report.worker}: release the job to run it again, or cancel it'
+    )
+    tables.jobs[job.job_id] = msgspec.structs.replace(job, reason=reason)
+
+
 def _store(tables: ControlTables, after: Task) -> None:
     before = tables.tasks[after.task_id]
     was_occupying = before.status in OCCUPYING_STATUSES
--- a/cumintack/state/jobs.py
+++ b/cumintack/state/jobs.py
@@ -50,7 +50,12 @@
 
 
 class ReportKind(enum.Enum):
-    """What a guard or the leader reports of an attempt."""
+    """What a guard or the leader reports of an attempt.
+
+    ``lapsed`` says that its lease has surely run out, ``vanished`` that the
+    worker no longer knows it: either way it runs no more, and nobody can say
+    whether it did its work.
+    """
 
     started = 'started'
     stop_requested = 'stop-requested'
@@ -58,15 +63,11 @@
     completed = 'completed'
     failed = 'failed'
     lapsed = 'lapsed'
+    vanished = 'vanished'
 
 
 OCCUPYING_STATUSES = frozenset(
-    (
-        TaskStatus.placed,
-        TaskStatus.running,
-        TaskStatus.stopping,
-        TaskStatus.unconfirmed,
-    )
+    (TaskStatus.placed, TaskStatus.running, TaskStatus.stopping),
 )
 
 FINAL_STATUSES = frozenset((TaskStatus.completed, TaskStatus.cancelled))
@@ -78,15 +79,18 @@
     (TaskStatus.placed, ReportKind.completed): TaskStatus.completed,
     (TaskStatus.placed, ReportKind.failed): TaskStatus.pending,
     (TaskStatus.placed, ReportKind.lapsed): TaskStatus.pending,
+    (TaskStatus.placed, ReportKind.vanished): TaskStatus.pending,
     (TaskStatus.running, ReportKind.stop_requested): TaskStatus.stopping,
     (TaskStatus.running, ReportKind.stopped): TaskStatus.pending,
     (TaskStatus.running, ReportKind.completed): TaskStatus.completed,
     (TaskStatus.running, ReportKind.failed): TaskStatus.pending,
     (TaskStatus.running, ReportKind.lapsed): TaskStatus.pending,
+    (TaskStatus.running, ReportKind.vanished): TaskStatus.pending,
     (TaskStatus.stopping, ReportKind.stopped): TaskStatus.pending,
     (TaskStatus.stopping, ReportKind.completed): TaskStatus.completed,
     (TaskStatus.stopping, ReportKind.failed): TaskStatus.pending,
     (TaskStatus.stopping, ReportKind.lapsed): TaskStatus.pending,
+    (TaskStatus.stopping, ReportKind.vanished): TaskStatus.pending,
     (TaskStatus.unconfirmed, ReportKind.stopped): TaskStatus.pending,
     (TaskStatus.unconfirmed, ReportKind.completed): TaskStatus.completed,
     (TaskStatus.unconfirmed, ReportKind.failed): TaskStatus.pending,
@@ -190,6 +194,7 @@
 
 
 MAX_FAILED_WORKERS = 3
+DOUBTFUL_KINDS = frozenset((ReportKind.lapsed, ReportKind.vanished))
 
 
 def compute_reported_task(
@@ -199,9 +204,9 @@
 ) -> Task:
     """Compute a task after a report.
 
-    A lease that lapsed returns an idempotent task to the queue. The lapse of
-    a task that is not idempotent only marks it unconfirmed, because nobody
-    knows whether its work was done.
+    An attempt that ended in doubt returns an idempotent task to the queue.
+    A task that is not idempotent is only marked unconfirmed, because its
+    work may have been done; a later report or an operator decides.
 
     Args:
         task: The task before.
@@ -214,7 +219,7 @@
     status = TRANSITIONS.get((task.status, report.kind))
     if status is None or report.attempt != task.attempt:
         return task
-    if report.kind is ReportKind.lapsed and not is_idempotent:
+    if report.kind in DOUBTFUL_KINDS and not is_idempotent:
         return msgspec.structs.replace(task, status=TaskStatus.unconfirmed)
     if status is TaskStatus.pending:
         return _compute_requeued(task, report)
--- a/cumintack/transport/http_server.py
+++ b/cumintack/transport/http_server.py
@@ -36,12 +36,21 @@
 
 
 class HttpResponse(msgspec.Struct, frozen=True):
-    """A response to send."""
+    """A response to send.
+
+    Attributes:
+        status: HTTP status.
+        body: The body.
+        headers: Headers besides type and length.
+        content_type: Media type, empty if it is among the headers.
+        is_length_given: Whether the length is among the headers.
+    """
 
     status: int
     body: bytes = b''
     headers: tuple[Header, ...] = ()
     content_type: str = 'application/json'
+    is_length_given: bool = False
 
 
 HttpHandler = Callable[[HttpRequest], HttpResponse]
@@ -105,7 +114,8 @@
         headers = [(header.name, header.text) for header in response.headers]
         if response.content_type:
             headers.append(('Content-Type', response.content_type))
-        headers.append(('Content-Length', str(len(response.body))))
+        if not response.is_length_given:
+            headers.append(('Content-Length', str(len(response.body))))
         start_response(f'{response.status} {phrase}', headers)
         yield response.body
 
