--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -11,6 +11,7 @@
 import click
 
 from bench import scenario_control, scenario_path, scenario_service
+from cumintack.daemon.logs import configure_logs
 
 
 def _run_in_folder(action: Callable[[pathlib.Path], None]) -> None:
@@ -21,6 +22,7 @@
 @click.group()
 def main() -> None:
     """Measure the real processes on loopback."""
+    configure_logs('error')
 
 
 @main.command('path')
--- a/bench/scenario_control.py
+++ b/bench/scenario_control.py
@@ -206,12 +206,12 @@
 
 def _count_lost(deployment: Deployment, writers: Writers) -> int:
     rows = deployment.query(
-        'select key, version from config where key ~ note.w'
+        'select key, version from config where key ~ note.r limit 100000'
     )
     versions = {str(row[0]): row[1] for row in rows.rows}
     lost = 0
     for writer in writers.writers:
-        found = versions.get(f'note.w{writer.number}', 0)
+        found = versions.get(f'note.{writers.prefix}w{writer.number}', 0)
         is_known = isinstance(found, int) and found >= writer.version
         lost += int(not is_known)
     return lost
@@ -237,6 +237,7 @@
     process = deployment.processes[name]
     process.terminate()
     process.wait()
+    time.sleep(SETTLE_S)
     started_s = time.monotonic()
     deployment.start_daemon(deployment.controls[index], 'control', index)
     text = (
--- a/bench/writers.py
+++ b/bench/writers.py
@@ -56,6 +56,7 @@
         '_thread',
         'done_at_s',
         'latencies_us',
+        'prefix',
         'writers',
     )
 
@@ -78,6 +79,7 @@
         )
         self._node = Node(settings, SystemClock(), None)
         self._limit = limit
+        self.prefix = f'r{time.monotonic_ns()}'
         self._pause_s = pause_s
         self._is_stopping = False
         self._sent_at_s: dict[int, float] = {}
@@ -102,7 +104,7 @@
         writer.sequence += 1
         self._sent_at_s[writer.number] = time.monotonic()
         change = ConfigurationChange(
-            f'note.w{writer.number}',
+            f'note.{self.prefix}w{writer.number}',
             writer.sequence,
             writer.version,
         )
--- a/cumintack/cli/main.py
+++ b/cumintack/cli/main.py
@@ -85,6 +85,16 @@
     tool.run(text)
 
 
+@main.command('run')
+@click.argument('path', type=PATH)
+@click.pass_obj
+def run_file(tool: Tool, path: pathlib.Path) -> None:
+    """Carry out the statements of a file, one a line, up to a failure."""
+    for line in path.read_text(encoding='utf-8').splitlines():
+        if line.strip() and not line.startswith('#'):
+            tool.run(line)
+
+
 @main.command()
 @click.pass_obj
 def shell(tool: Tool) -> None:
--- a/cumintack/daemon/settings_test.py
+++ b/cumintack/daemon/settings_test.py
@@ -1,10 +1,16 @@
 """Settings: every problem is one line with the path of its key."""
 
+import pathlib
+
 import pytest
 from result import Err, Ok
 from syrupy.assertion import SnapshotAssertion
 
-from cumintack.daemon.settings import get_roles, parse_settings
+from cumintack.daemon.settings import (
+    get_roles,
+    load_settings,
+    parse_settings,
+)
 
 BASE = """
 name: entry-1
@@ -42,6 +48,15 @@
     assert get_roles(parsed.ok_value) == ('entry',)
 
 
+def test_examples() -> None:
+    """The settings of the examples are good."""
+    folder = pathlib.Path(__file__).parents[2] / 'examples'
+    paths = sorted(folder.glob('*/*.yaml'))
+    assert paths
+    for path in paths:
+        assert isinstance(load_settings(path), Ok)
+
+
 @pytest.mark.parametrize('text', BAD)
 def test_bad_settings(text: str, snapshot: SnapshotAssertion) -> None:
     """Bad settings are refused with one line for each problem."""
--- a/cumintack/protocol/language.py
+++ b/cumintack/protocol/language.py
@@ -248,18 +248,18 @@
         return Ok(_Builder().transform(tree))
     except lark.exceptions.VisitError as error:
         return Err(_refuse(f'not a number: {error.orig_exc}'))
-    except lark.exceptions.UnexpectedEOF:
-        return Err(_refuse(f'column {len(text) + 1}: something is missing'))
     except lark.exceptions.UnexpectedInput as error:
         return Err(_refuse(_describe(text, error)))
 
 
 def _describe(text: str, error: lark.exceptions.UnexpectedInput) -> str:
-    column = error.column if error.column > 0 else len(text) + 1
-    position = max(0, error.pos_in_stream or 0)
-    word = text[position:].split(maxsplit=1)
-    seen = repr(word[0]) if word and error.column > 0 else 'the end'
-    return f'line {max(1, error.line)}, column {column}: {seen} is not expected'
+    token = getattr(error, 'token', None)
+    if token is not None and token.type == '$END':
+        return f'column {len(text) + 1}: something is missing at the end'
+    position = error.pos_in_stream or 0
+    seen = text[position:].split(maxsplit=1)[0]
+    place = f'line {error.line}, column {error.column}'
+    return f'{place}: {seen!r} is not expected'
 
 
 def _refuse(detail: str) -> StepError:
