--- a/bench/running.py
+++ b/bench/running.py
@@ -28,6 +28,7 @@
     'unknown',
     'failed',
     'wrong',
+    'late',
     'goodput/s',
     'p50 ms',
     'p99 ms',
@@ -118,6 +119,7 @@
         result.unknown,
         result.failed,
         result.wrong,
+        result.late_starts,
         round(result.on_time / elapsed_s, 1),
         *(round(latency, 2) for latency in latencies),
     )
