Silent connections, even choice, kept connections

Change: 4,096 kept connections; expected time grows with all load, half of the guards drawn at random are compared; an upstream announces how many requests it works on, by which the guard finds lost ones, opens fresh connections, and counts what a former incarnation left there; probes are answered over the socket that asked.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -10,7 +10,12 @@
 
 import click
 
-from bench import scenario_control, scenario_path, scenario_service
+from bench import (
+    scenario_control,
+    scenario_path,
+    scenario_scheduler,
+    scenario_service,
+)
 from cumintack.daemon.logs import configure_logs
 
 
@@ -109,5 +114,18 @@
     )
 
 
+@main.command('scheduler')
+@click.option('--seconds', default=4)
+def scheduler_command(seconds: int) -> None:
+    """Time scheduler passes at three sizes, beside first fit."""
+    scenario_scheduler.run_passes(seconds)
+
+
+@main.command('tables')
+def tables_command() -> None:
+    """Measure the memory of a day of jobs, and a wave of cancels."""
+    scenario_scheduler.run_memory()
+
+
 if __name__ == '__main__':
     main()
--- a/bench/load.py
+++ b/bench/load.py
@@ -17,6 +17,7 @@
 from hdrh.histogram import HdrHistogram
 from result import Err
 
+from cumintack.transport.caller_edge import OutcomeBody
 from cumintack.transport.http_client import HttpClient
 
 MAX_ANSWER_BYTES = 65536
@@ -74,6 +75,7 @@
         late_starts: Requests sent later than due by the load itself.
         latencies_us: Latencies of completed requests.
         refusals_us: Latencies of refusals.
+        reasons: Requests that did not complete, by reason.
         not_run_ids: Identities of refused requests.
         once_ids: Identities of requests that are not idempotent.
         elapsed_s: Length of the run.
@@ -89,6 +91,7 @@
     late_starts: int = 0
     latencies_us: list[int] = []
     refusals_us: list[int] = []
+    reasons: dict[str, int] = {}
     not_run_ids: list[str] = []
     once_ids: list[str] = []
     elapsed_s: float = 0
@@ -204,6 +207,7 @@
         now_s = time.monotonic()
         kind = 'failed'
         is_wrong = False
+        reason = 'no answer'
         if not isinstance(sent, Err):
             answer = sent.ok_value
             named = {
@@ -211,10 +215,17 @@
             }
             kind = named.get('cumintack-outcome', 'completed')
             expected = b'{"answer_to":"%s"}' % identity.encode()
+            reason = ''
+            if kind != 'completed':
+                reason = _read_reason(answer.body)
             is_wrong = kind == 'completed' and answer.body != expected
         took_us = int((now_s - due.at_s) * 1000000)
         with self._lock:
             self._count(kind, took_us, is_wrong=is_wrong)
+            if kind != 'completed':
+                reasons = self.result.reasons
+                label = f'{kind}: {reason}'
+                reasons[label] = reasons.get(label, 0) + 1
             if sent_at_s - due.at_s > LATE_LIMIT_S:
                 self.result.late_starts += 1
         return kind
@@ -238,6 +249,13 @@
                 result.failed += 1
 
 
+def _read_reason(body: bytes) -> str:
+    try:
+        return msgspec.json.decode(body, type=OutcomeBody).reason
+    except msgspec.DecodeError:
+        return 'unreadable'
+
+
 def merge_results(parts: list[LoadResult]) -> LoadResult:
     """Merge the results of several load processes.
 
@@ -252,6 +270,9 @@
         for name in ('offered', 'completed', 'on_time', 'not_run', 'unknown'):
             setattr(merged, name, getattr(merged, name) + getattr(result, name))
         merged.failed += result.failed
+        for reason, count in result.reasons.items():
+            before = merged.reasons.get(reason, 0)
+            merged.reasons[reason] = before + count
         merged.wrong += result.wrong
         merged.late_starts += result.late_starts
         merged.latencies_us.extend(result.latencies_us)
--- a/bench/running.py
+++ b/bench/running.py
@@ -18,6 +18,7 @@
 from cumintack.coordination.querying import Cell, Rows
 from cumintack.demo.sample_upstream import Ledger
 
+MAX_REASONS = 8
 LOAD_COLUMNS = (
     'case',
     'offered/s',
@@ -125,6 +126,18 @@
     )
 
 
+def print_reasons(result: LoadResult) -> None:
+    """Print why requests did not complete.
+
+    Args:
+        result: What the load saw.
+    """
+    ordered = sorted(result.reasons.items(), key=lambda pair: -pair[1])
+    rows: list[tuple[Cell, ...]] = list(ordered[:MAX_REASONS])
+    if rows:
+        print_table('Not completed', ('reason', 'requests'), rows)
+
+
 class Verdict(msgspec.Struct, frozen=True):
     """What the ledgers of the upstreams say about the promises.
 
--- /dev/null
+++ b/bench/scenario_scheduler.py
@@ -0,0 +1,323 @@
+"""The pure scheduler at 100, 1,000 and 4,500 workers, beside first fit."""
+
+import random
+import time
+import tracemalloc
+
+from bench.load import compute_percentiles_ms
+from bench.running import print_table
+from cumintack.coordination.querying import Cell
+from cumintack.coordination.scheduling import (
+    SchedulerSettings,
+    create_scheduler,
+    run_pass,
+)
+from cumintack.state.commands import (
+    CancelJobs,
+    Command,
+    Operation,
+    PlaceTasks,
+    RegisterWorkers,
+    ReportTasks,
+    SetTeam,
+    SubmitJob,
+)
+from cumintack.state.jobs import (
+    JobSpec,
+    Placement,
+    Priority,
+    ReportKind,
+    TaskReport,
+    TaskStatus,
+)
+from cumintack.state.machine import (
+    apply_command,
+    decode_tables,
+    encode_tables,
+)
+from cumintack.state.resources import (
+    Resources,
+    compute_difference,
+    is_within,
+)
+from cumintack.state.tables import ControlTables
+from cumintack.state.workers import WorkerSpec
+
+TEAM_COUNT = 610
+STARTS_PER_S = 1300
+PASSES_PER_S = 50
+MB = 1024 * 1024
+SHAPES = (
+    (Resources(500, 1024), 0.4),
+    (Resources(1000, 2048), 0.3),
+    (Resources(2000, 4096), 0.2),
+    (Resources(8000, 16384), 0.07),
+    (Resources(4000, 8192, 1), 0.03),
+)
+
+
+class Bench:
+    """Tables at a size, with a count of commands."""
+
+    def __init__(self, workers: int, tasks: int, seed: int) -> None:
+        """Fill the tables with workers, teams and running tasks."""
+        self.random = random.Random(seed)
+        self.tables = ControlTables()
+        self.index = 0
+        self.apply_s = 0.0
+        specs = [
+            WorkerSpec(
+                f'w{number}',
+                f'dc{number % 28}',
+                f'rack{number // 20}',
+                Resources(32000, 128000, 4 if number % 2 else 0),
+            )
+            for number in range(workers)
+        ]
+        for first in range(0, workers, 500):
+            self.commit(RegisterWorkers(tuple(specs[first : first + 500])))
+        for number in range(TEAM_COUNT):
+            quota = Resources(10**9, 10**9, 10**6)
+            self.commit(SetTeam(f't{number}', quota))
+        self.submit(tasks)
+        self.scheduler = create_scheduler(SchedulerSettings(), self.tables)
+        self.place_all()
+
+    def commit(self, operation: Operation) -> None:
+        """Apply a command."""
+        self.index += 1
+        command = Command(
+            f's{self.index // 32}',
+            self.index,
+            'bench',
+            0,
+            operation,
+        )
+        started_s = time.perf_counter()
+        apply_command(self.tables, self.index, command)
+        self.apply_s += time.perf_counter() - started_s
+
+    def submit(self, tasks: int) -> None:
+        """Submit jobs with so many tasks in all."""
+        left = tasks
+        while left > 0:
+            count = min(left, self.random.choice((1, 5, 20, 50)))
+            left -= count
+            need = self.random.choices(
+                [shape for shape, _ in SHAPES],
+                [weight for _, weight in SHAPES],
+            )[0]
+            team = f't{self.random.randrange(TEAM_COUNT)}'
+            priority = self.random.choice(tuple(Priority))
+            self.commit(
+                SubmitJob(JobSpec('job', team, count, need, priority=priority)),
+            )
+
+    def place(self) -> int:
+        """Run one pass and commit what it decided."""
+        decisions = run_pass(self.scheduler, self.tables, 0)
+        placements = decisions.placements
+        if placements:
+            self.commit(PlaceTasks(tuple(placements)))
+        return len(placements)
+
+    def place_all(self) -> None:
+        """Run passes until nothing more is placed."""
+        placed = self.place()
+        while placed:
+            placed = self.place()
+
+    def complete(self, count: int) -> None:
+        """Complete so many placed tasks."""
+        placed = [
+            task
+            for task in self.tables.tasks.values()
+            if task.status is TaskStatus.placed
+        ]
+        chosen = self.random.sample(placed, min(count, len(placed)))
+        reports = tuple(
+            TaskReport(
+                task.task_id,
+                task.attempt,
+                ReportKind.completed,
+                task.worker,
+            )
+            for task in chosen
+        )
+        self.commit(ReportTasks(reports))
+
+
+def _run_size(workers: int, tasks: int, seconds: int) -> tuple[Cell, ...]:
+    bench = Bench(workers, tasks, 1)
+    occupied = sum(
+        len(names) for names in bench.tables.derived.tasks_by_worker.values()
+    )
+    batch = STARTS_PER_S // PASSES_PER_S
+    passes_us = []
+    placed = 0
+    apply_before_s = bench.apply_s
+    for _ in range(seconds * PASSES_PER_S):
+        bench.complete(batch)
+        bench.submit(batch)
+        started_s = time.perf_counter()
+        decisions = run_pass(bench.scheduler, bench.tables, 0)
+        passes_us.append(int((time.perf_counter() - started_s) * 1000000))
+        placed += len(decisions.placements)
+        if decisions.placements:
+            bench.commit(PlaceTasks(tuple(decisions.placements)))
+    percentiles = compute_percentiles_ms(passes_us)
+    pass_s = sum(passes_us) / 1000000
+    apply_s = bench.apply_s - apply_before_s
+    core = (pass_s + apply_s) / seconds
+    return (
+        workers,
+        len(bench.tables.tasks),
+        occupied,
+        round(placed / seconds, 1),
+        percentiles[0],
+        percentiles[1],
+        round(placed / (pass_s + apply_s), 1),
+        round(100 * core, 1),
+    )
+
+
+def _place_first_fit(bench: Bench) -> int:
+    """Place every pending task on the first worker that holds it."""
+    free = {
+        name: compute_difference(
+            worker.spec.holds,
+            bench.tables.derived.reserved.get(name, Resources()),
+        )
+        for name, worker in bench.tables.workers.items()
+    }
+    placements = []
+    for task in bench.tables.tasks.values():
+        if task.status is not TaskStatus.pending:
+            continue
+        job = bench.tables.jobs[task.job_id]
+        need = job.spec.need
+        for name, left in free.items():
+            if is_within(need, left):
+                free[name] = compute_difference(left, need)
+                placements.append(
+                    Placement(task.task_id, task.attempt + 1, name),
+                )
+                break
+    if placements:
+        bench.commit(PlaceTasks(tuple(placements)))
+    return len(placements)
+
+
+def run_passes(seconds: int) -> None:
+    """Measure passes at three sizes, with 1,300 starts a second.
+
+    Args:
+        seconds: Simulated seconds of starts.
+    """
+    rows = [
+        _run_size(100, 2070, seconds),
+        _run_size(1000, 20700, seconds),
+        _run_size(4500, 93000, seconds),
+    ]
+    print_table(
+        f'Scheduler passes, {STARTS_PER_S} starts/s wanted, '
+        f'{PASSES_PER_S} passes/s',
+        (
+            'workers',
+            'tasks',
+            'occupying',
+            'starts/s',
+            'pass p50 ms',
+            'pass p99 ms',
+            'starts/s of one core',
+            'core %',
+        ),
+        rows,
+    )
+    _run_first_fit()
+
+
+def _run_first_fit() -> None:
+    bench = Bench(4500, 93000, 1)
+    bench.complete(1300)
+    bench.submit(1300)
+    started_s = time.perf_counter()
+    placed = _place_first_fit(bench)
+    took_s = time.perf_counter() - started_s
+    print_table(
+        'Baseline: first fit over all workers, 4,500 workers, one pass',
+        ('placed', 'pass ms', 'ms a placement'),
+        [
+            (
+                placed,
+                round(took_s * 1000, 1),
+                round(took_s * 1000 / max(1, placed), 3),
+            ),
+        ],
+    )
+
+
+def run_memory() -> None:
+    """Measure the memory of a day of jobs and of a wave of cancels."""
+    rows: list[tuple[Cell, ...]] = []
+    for jobs in (10000, 30000, 61000):
+        tracemalloc.start()
+        bench = _create_day(jobs)
+        used, _peak = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+        started_s = time.perf_counter()
+        encoded = encode_tables(bench.tables)
+        encode_s = time.perf_counter() - started_s
+        started_s = time.perf_counter()
+        decode_tables(encoded)
+        decode_s = time.perf_counter() - started_s
+        rows.append(
+            (
+                jobs,
+                len(bench.tables.tasks),
+                round(used / MB, 1),
+                round(used / jobs),
+                round(len(encoded) / MB, 1),
+                round(encode_s * 1000),
+                round(decode_s * 1000),
+            ),
+        )
+    print_table(
+        'Tables of a day, two tasks a job',
+        (
+            'jobs',
+            'tasks',
+            'memory mb',
+            'bytes a job',
+            'snapshot mb',
+            'encode ms',
+            'decode ms',
+        ),
+        rows,
+    )
+    _run_cancels()
+
+
+def _create_day(jobs: int) -> Bench:
+    bench = Bench(100, 0, 1)
+    for number in range(jobs):
+        team = f't{number % TEAM_COUNT}'
+        bench.commit(SubmitJob(JobSpec('job', team, 2, SHAPES[0][0])))
+    return bench
+
+
+def _run_cancels() -> None:
+    bench = _create_day(20000)
+    bench.place_all()
+    names = tuple(list(bench.tables.jobs)[:10000])
+    started_s = time.perf_counter()
+    bench.commit(CancelJobs(names))
+    cancel_s = time.perf_counter() - started_s
+    started_s = time.perf_counter()
+    run_pass(bench.scheduler, bench.tables, 0)
+    pass_s = time.perf_counter() - started_s
+    print_table(
+        'A wave of 10,000 cancels',
+        ('cancel ms', 'next pass ms'),
+        [(round(cancel_s * 1000, 1), round(pass_s * 1000, 1))],
+    )
--- a/bench/scenario_service.py
+++ b/bench/scenario_service.py
@@ -19,6 +19,7 @@
     create_plans,
     judge_ledgers,
     print_line,
+    print_reasons,
     print_table,
 )
 from cumintack.coordination.querying import Cell
@@ -126,6 +127,7 @@
                 result = _run_load(plan, case_folder)
                 label = f'{policy} {share:.0%}'
                 rows.append(create_load_row(label, result))
+                print_reasons(result)
                 time.sleep(SETTLE_S)
         finally:
             deployment.stop()
@@ -161,6 +163,7 @@
                 action(deployment)
                 result = _run_load(plan, case_folder)
                 rows.append(create_load_row(f'{policy} {fault}', result))
+                print_reasons(result)
                 _mend(deployment)
         finally:
             deployment.stop()
@@ -268,6 +271,7 @@
         LOAD_COLUMNS,
         [create_load_row('faults', result)],
     )
+    print_reasons(result)
     print_verdict(result, verdict)
 
 
--- a/cumintack/coordination/admission.py
+++ b/cumintack/coordination/admission.py
@@ -17,6 +17,7 @@
     Effect,
     HandOver,
     Note,
+    RenewConnections,
     Send,
     create_not_run,
 )
@@ -30,6 +31,7 @@
 
 SERVICE_TIME_WEIGHT = 0.1
 FIRST_SERVICE_TIME_S = 0.005
+SETTLED_S = 1.0
 
 
 class AdmissionSettings(msgspec.Struct, frozen=True):
@@ -103,6 +105,8 @@
         service: Service of the upstream, empty while there is none.
         slots: Slots announced.
         busy: Slots in use.
+        foreign: Slots in use by requests that this incarnation did not hand
+            over: those of a former one, as announced by the upstream.
         is_leaving: Whether new work is refused.
         queue: Waiting attempts as a heap.
         queued: Number of waiting attempts that were not withdrawn.
@@ -119,6 +123,7 @@
     service: str = ''
     slots: int = 0
     busy: int = 0
+    foreign: int = 0
     is_leaving: bool = False
     queue: list[Queued] = []
     queued: int = 0
@@ -237,7 +242,7 @@
     admission.queued += 1
     if reason:
         return _refuse(admission, record, reason, now_s)
-    if admission.busy < admission.slots:
+    if _has_room(admission):
         return _start(admission, record, now_s)
     admission.numbers += 1
     heapq.heappush(
@@ -247,6 +252,10 @@
     return []
 
 
+def _has_room(admission: Admission) -> bool:
+    return admission.busy + admission.foreign < admission.slots
+
+
 def _repeat_answer(record: AttemptRecord) -> list[Effect]:
     if record.answer is None:
         return []
@@ -262,7 +271,7 @@
         return 'leaving' if admission.is_leaving else 'no upstream'
     if request.service != admission.service:
         return 'other service'
-    if admission.busy >= admission.slots:
+    if not _has_room(admission):
         if admission.queued >= get_queue_limit(admission):
             return 'queue full'
         rounds = (admission.queued + 1) / admission.slots
@@ -401,7 +410,7 @@
 
 def _start_waiting(admission: Admission, now_s: float) -> list[Effect]:
     effects: list[Effect] = []
-    while admission.queue and admission.busy < admission.slots:
+    while admission.queue and _has_room(admission):
         place = heapq.heappop(admission.queue)
         record = admission.attempts[place.key]
         if record.status is not AttemptStatus.queued:
@@ -463,6 +472,76 @@
     return effects
 
 
+def take_busy(
+    admission: Admission,
+    busy: int,
+    now_s: float,
+) -> list[Effect]:
+    """Compare the slots in use with what the upstream says it works on.
+
+    A request that was handed over a while ago and that the upstream does not
+    know sits on a connection that went silent. If none of the older ones is
+    known there, all are lost: they end as unknown and fresh connections are
+    opened. If only some are, slots of overdue attempts are given back.
+
+    Args:
+        admission: The state.
+        busy: Requests that the upstream has received and not answered.
+        now_s: The time.
+
+    Returns:
+        Answers for lost attempts, hand-overs of waiting ones.
+    """
+    admission.foreign = max(0, busy - admission.busy)
+    settled = [
+        key
+        for key in admission.running
+        if now_s - admission.attempts[key].started_at_s > SETTLED_S
+    ]
+    recent = admission.busy - len(settled)
+    excess = min(len(settled), admission.busy - recent - busy)
+    if excess <= 0:
+        return _start_waiting(admission, now_s)
+    settled.sort(key=lambda key: admission.attempts[key].started_at_s)
+    effects: list[Effect] = []
+    if busy:
+        overdue = [
+            key
+            for key in settled
+            if admission.attempts[key].status is AttemptStatus.overdue
+        ]
+        lost = overdue[:excess]
+    else:
+        lost = settled
+        effects.append(RenewConnections())
+    for key in lost:
+        effects.extend(_lose(admission, key, now_s))
+    effects.extend(_start_waiting(admission, now_s))
+    return effects
+
+
+def _lose(
+    admission: Admission,
+    key: AnswerKey,
+    now_s: float,
+) -> list[Effect]:
+    record = admission.attempts[key]
+    admission.running.discard(key)
+    admission.busy -= 1
+    note = Note('guard.lost', key[0], 'the connection went silent')
+    if record.status is not AttemptStatus.running:
+        record.status = AttemptStatus.ended
+        return [note]
+    answer = Answer(
+        key[0],
+        key[1],
+        admission.worker,
+        OutcomeKind.unknown,
+        'the connection to the upstream went silent',
+    )
+    return [*_end(admission, record, answer, now_s), note]
+
+
 def _forget_old(admission: Admission, now_s: float) -> None:
     ended = admission.ended
     while ended and ended[0].forget_at_s <= now_s:
--- a/cumintack/coordination/effects.py
+++ b/cumintack/coordination/effects.py
@@ -67,6 +67,10 @@
     timeout_s: float
 
 
+class RenewConnections(msgspec.Struct, frozen=True):
+    """Open new connections to the upstream; the present ones are dead."""
+
+
 class Note(msgspec.Struct, frozen=True):
     """Record an event of the time line, and count it."""
 
@@ -75,7 +79,7 @@
     detail: str = ''
 
 
-Effect = Send | Reply | ProposeOperation | HandOver | Note
+Effect = Send | Reply | ProposeOperation | HandOver | RenewConnections | Note
 
 AnswerKey = tuple[str, int]
 
--- a/cumintack/coordination/fake_service_test.py
+++ b/cumintack/coordination/fake_service_test.py
@@ -87,6 +87,17 @@
         )
         admission.announce(guard, SERVICE, SLOTS)
         self.guards[worker] = guard
+        self.announce(worker)
+
+    def announce(self, worker: str) -> None:
+        """Let an upstream say how much it works on."""
+        busy = sum(1 for running in self.running if running.worker == worker)
+        effects = admission.take_busy(self.guards[worker], busy, self.now_s)
+        self.run_guard(worker, effects)
+
+    def lose_answer(self, position: int) -> None:
+        """Let an upstream end its work over a connection that is silent."""
+        self.running.pop(position)
 
     def boot_entry(self, name: str) -> None:
         """Start an entry without any memory; its callers lost their answer."""
@@ -191,6 +202,8 @@
         request_id = effect.request.request_id
         self.executions[request_id] = self.executions.get(request_id, 0) + 1
         self.running.append(Running(worker, incarnation, effect))
+        at_once = sum(1 for running in self.running if running.worker == worker)
+        assert at_once <= SLOTS, 'the upstream got more than its slots'
 
     def deliver(self, position: int, *, is_repeated: bool = False) -> None:
         """Deliver a message, in any order."""
@@ -317,6 +330,8 @@
             while self.claims:
                 self.decide_claim(0, is_granted=True)
             self.tick(TIMEOUT_S / 4)
+            for worker in self.guards:
+                self.announce(worker)
             self.check()
         unanswered = set(self.requests) - set(self.replies)
         assert not unanswered, f'no reply to {sorted(unanswered)}'
--- a/cumintack/coordination/guards.py
+++ b/cumintack/coordination/guards.py
@@ -17,7 +17,7 @@
 STALE_AFTER_S = 1.0
 GONE_AFTER_S = 3.0
 REMOTE_PENALTY_S = 0.008
-LATENCY_WEIGHT = 0.15
+LATENCY_WEIGHT = 0.05
 FIRST_LATENCY_S = 0.005
 SLOW_FACTOR = 4.0
 SLOW_FLOOR_S = 0.02
@@ -25,7 +25,8 @@
 MAX_EJECTED_SHARE = 0.34
 FIRST_EJECTION_S = 1.0
 MAX_EJECTION_S = 30.0
-SAMPLED_GUARDS = 16
+LEAST_SAMPLED = 4
+MOST_SAMPLED = 16
 
 
 class GuardView(msgspec.Struct):
@@ -126,11 +127,10 @@
     """
     slots = max(1, guard.status.slots)
     load = compute_load(guard)
-    waiting = max(0, load + 1 - slots)
-    expected_s = guard.latency_s * (1 + waiting / slots)
+    expected_s = guard.latency_s * (1 + load / slots)
     if guard.status.data_centre != data_centre:
         expected_s += REMOTE_PENALTY_S
-    return expected_s + guard.latency_s * load / slots / 10
+    return expected_s
 
 
 def choose_guard(
@@ -146,20 +146,21 @@
         guards: The guards of the service.
         data_centre: Where the entry stands.
         excluded: Workers that already had an attempt of the request.
-        generator: Breaks ties, so that entries don't all choose alike.
+        generator: Draws the half of the guards that is compared, so that
+            entries with the same late reports don't all choose alike.
         now_s: The time.
 
     Returns:
         The guard with the shortest answer time to be expected, or None.
     """
-    if len(guards) > SAMPLED_GUARDS:
-        guards = generator.sample(guards, SAMPLED_GUARDS)
+    candidates = [
+        guard for guard in guards if _is_candidate(guard, excluded, now_s)
+    ]
+    half = max(LEAST_SAMPLED, len(candidates) // 2)
+    sampled = min(len(candidates), half, MOST_SAMPLED)
     best = None
     best_s = math.inf
-    offset = generator.randrange(len(guards)) if guards else 0
-    for guard in guards[offset:] + guards[:offset]:
-        if not _is_candidate(guard, excluded, now_s):
-            continue
+    for guard in generator.sample(candidates, sampled):
         expected_s = compute_expected_s(guard, data_centre)
         if guard.is_on_trial:
             return guard
--- a/cumintack/coordination/routing_machine_test.py
+++ b/cumintack/coordination/routing_machine_test.py
@@ -94,6 +94,17 @@
             kind,
         )
 
+    @precondition(lambda self: bool(self.service.running))
+    @rule(position=POSITIONS)
+    def lose_answer(self, position: int) -> None:
+        """Let a connection to an upstream go silent."""
+        self.service.lose_answer(position % len(self.service.running))
+
+    @rule(guard=GUARDS)
+    def announce(self, guard: int) -> None:
+        """Let an upstream announce itself."""
+        self.service.announce(f'w{guard}')
+
     @precondition(lambda self: bool(self.service.claims))
     @rule(position=POSITIONS, is_granted=st.booleans())
     def decide_claim(self, position: int, is_granted: bool) -> None:
--- a/cumintack/daemon/guard_part.py
+++ b/cumintack/daemon/guard_part.py
@@ -9,7 +9,13 @@
 from result import Err, Ok
 
 from cumintack.coordination import admission
-from cumintack.coordination.effects import Effect, HandOver, Note, Send
+from cumintack.coordination.effects import (
+    Effect,
+    HandOver,
+    Note,
+    RenewConnections,
+    Send,
+)
 from cumintack.coordination.slowdown import (
     SlowdownMeter,
     compute_slowdown,
@@ -147,23 +153,17 @@
         state = self._admission
         is_same = (
             self._edge is not None
-            and self._edge.address == announcement.address
+            and self._edge.announcement.address == announcement.address
             and state.slots == announcement.slots
             and state.service == announcement.service
         )
         self._announced_until_s = now_s + holds_s
+        if announcement.busy is not None:
+            self._run(admission.take_busy(state, announcement.busy, now_s))
         if is_same and not state.is_leaving:
             return
         if not is_same:
-            if self._edge is not None:
-                self._edge.close()
-            self._edge = UpstreamEdge(
-                announcement,
-                self._settings.worker,
-                self._settings.max_connections,
-                self._settings.max_answer_bytes,
-                self._node.clock,
-            )
+            self._connect(announcement)
         admission.announce(state, announcement.service, announcement.slots)
         self._node.note(
             Note('guard.announced', state.worker, announcement.service),
@@ -171,6 +171,17 @@
         logger.info('guard: upstream announced', service=announcement.service)
         self._send_status(now_s)
 
+    def _connect(self, announcement: Announcement) -> None:
+        if self._edge is not None:
+            self._edge.close()
+        self._edge = UpstreamEdge(
+            announcement,
+            self._settings.worker,
+            self._settings.max_connections,
+            self._settings.max_answer_bytes,
+            self._node.clock,
+        )
+
     def _leave(self) -> None:
         now_s = self._node.clock.now_s()
         if self._admission.is_leaving:
@@ -241,6 +252,10 @@
                     self._node.send(effect.peer, effect.message)
                 case HandOver():
                     self._hand_over(effect)
+                case RenewConnections():
+                    logger.warning('guard: connections renewed')
+                    if self._edge is not None:
+                        self._connect(self._edge.announcement)
                 case Note():
                     self._node.note(effect)
 
--- a/cumintack/demo/sample_upstream.py
+++ b/cumintack/demo/sample_upstream.py
@@ -153,18 +153,20 @@
 
     def _announce(self) -> None:
         client = HttpClient(self.guard_address, 1, MAX_ANSWER_BYTES)
-        body = msgspec.json.encode(
-            Announcement(
-                self._service,
-                self._announced or self.get_address(),
-                self._slots,
-            ),
-        )
         is_stopped = False
         while not is_stopped:
+            body = msgspec.json.encode(self._describe())
             client.send('POST', ANNOUNCE_PATH, JSON_HEADERS, body, 1.0)
             is_stopped = self._stopped.wait(ANNOUNCE_INTERVAL_S)
 
+    def _describe(self) -> Announcement:
+        return Announcement(
+            self._service,
+            self._announced or self.get_address(),
+            self._slots,
+            self._at_once,
+        )
+
     def _serve(self, request: HttpRequest) -> HttpResponse:
         match request.path:
             case '/ledger':
--- a/cumintack/transport/http_server.py
+++ b/cumintack/transport/http_server.py
@@ -1,6 +1,7 @@
 """HTTP server: requests in threads, with limits against hostile senders."""
 
 from http import HTTPStatus
+import secrets
 import socket
 import threading
 from collections.abc import Callable, Iterator
@@ -13,6 +14,9 @@
 MAX_HEADER_BYTES = 32768
 READ_TIMEOUT_S = 10
 BACKLOG = 512
+KEPT_CONNECTIONS = 4096
+LOWEST_PORT = 10000
+HIGHEST_PORT = 30000
 
 
 class HttpRequest(msgspec.Struct, frozen=True):
@@ -83,6 +87,7 @@
         )
         self._server.max_request_header_size = MAX_HEADER_BYTES
         self._server.max_request_body_size = max_body_bytes
+        self._server.keep_alive_conn_limit = KEPT_CONNECTIONS
         self._server.server_name = 'cumintack'
         self._thread = threading.Thread(
             target=self._server.serve,
@@ -202,9 +207,14 @@
 def find_free_port() -> int:
     """Find a port that is free on loopback now.
 
+    The system gives ports above this range to outgoing connections, which
+    would take a port found there before it is bound.
+
     Returns:
         The port.
     """
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return int(probe.getsockname()[1])
+    while True:
+        port = secrets.choice(range(LOWEST_PORT, HIGHEST_PORT))
+        with socket.socket() as probe:
+            if probe.connect_ex(('127.0.0.1', port)) != 0:
+                return port
--- a/cumintack/transport/links.py
+++ b/cumintack/transport/links.py
@@ -179,9 +179,19 @@
 
     def send(self, peer: str, message: Message) -> bool:
         """Send a message; false if there is no link or it is full."""
+        encoded = self._encode(message)
+        is_sent = self._send_encoded(peer, encoded)
+        if is_sent:
+            self.counters.sent += 1
+            self.counters.bytes_sent += len(encoded)
+        else:
+            self.counters.dropped += 1
+        return is_sent
+
+    def _encode(self, message: Message) -> bytes:
         ring = self._ring
         ring.stamp = compute_next_stamp(ring.stamp, get_wall_ms(self._clock))
-        encoded = encode_envelope(
+        return encode_envelope(
             Envelope(
                 PROTOCOL_VERSION,
                 self._name,
@@ -190,13 +200,6 @@
                 message,
             ),
         )
-        is_sent = self._send_encoded(peer, encoded)
-        if is_sent:
-            self.counters.sent += 1
-            self.counters.bytes_sent += len(encoded)
-        else:
-            self.counters.dropped += 1
-        return is_sent
 
     def _send_encoded(self, peer: str, encoded: bytes) -> bool:
         link = self._dialled.get(peer)
@@ -246,9 +249,20 @@
                 continue
             self._learn_route(envelope.sender, frames[0])
             if isinstance(envelope.message, Ping):
-                self.send(envelope.sender, Pong(envelope.message.number))
+                self._answer_probe(frames[0], envelope.message)
             receiver(envelope)
 
+    def _answer_probe(self, identity: bytes, ping: Ping) -> None:
+        """Answer over the very socket that is probed, not over our own."""
+        encoded = self._encode(Pong(ping.number))
+        router = self._router
+        if router is None:
+            return
+        try:
+            router.send_multipart((identity, encoded), zmq.NOBLOCK)
+        except zmq.ZMQError:
+            self.counters.dropped += 1
+
     def _learn_route(self, sender: str, identity: bytes) -> None:
         known = self._routes.get(sender)
         if known == identity:
--- a/cumintack/transport/upstream_edge.py
+++ b/cumintack/transport/upstream_edge.py
@@ -24,11 +24,14 @@
         service: The service that it serves.
         address: Where it listens, as ``host:port``.
         slots: Requests that it serves at once.
+        busy: Requests received and not answered; by it the guard sees that
+            a connection went silent. None if the upstream does not say.
     """
 
     service: str
     address: str
     slots: int
+    busy: int | None = None
 
 
 class LeaveNotice(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -40,7 +43,7 @@
 class UpstreamEdge:
     """The connections to one upstream and the threads that use them."""
 
-    __slots__ = ('_client', '_clock', '_pool', '_worker', 'address')
+    __slots__ = ('_client', '_clock', '_pool', '_worker', 'announcement')
 
     def __init__(
         self,
@@ -51,7 +54,7 @@
         clock: Clock,
     ) -> None:
         """Use one thread and one connection for each slot."""
-        self.address = announcement.address
+        self.announcement = announcement
         self._worker = worker
         self._clock = clock
         count = min(announcement.slots, connection_count)
