--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -12,6 +12,7 @@
 
 from bench import (
     scenario_control,
+    scenario_cost,
     scenario_path,
     scenario_scheduler,
     scenario_service,
@@ -127,5 +128,26 @@
     scenario_scheduler.run_memory()
 
 
+@main.command('cost-guard')
+@click.option('--seconds', default=5.0)
+def cost_guard_command(seconds: float) -> None:
+    """Measure a guard idle, with tasks, and under requests."""
+    _run_in_folder(lambda folder: scenario_cost.run_guard(folder, seconds))
+
+
+@main.command('cost-leader')
+@click.option('--seconds', default=5.0)
+def cost_leader_command(seconds: float) -> None:
+    """Measure a leader over workers and tasks."""
+    _run_in_folder(lambda folder: scenario_cost.run_leader(folder, seconds))
+
+
+@main.command('cost-changes')
+@click.option('--seconds', default=5.0)
+def cost_changes_command(seconds: float) -> None:
+    """Measure all roles under changes, and an entry under requests."""
+    _run_in_folder(lambda folder: scenario_cost.run_changes(folder, seconds))
+
+
 if __name__ == '__main__':
     main()
--- a/bench/deployments.py
+++ b/bench/deployments.py
@@ -40,6 +40,7 @@
         policy: Routing policy, for baselines.
         queue_per_slot: Requests that a guard keeps waiting for each slot.
         relay: Relay between guards and the rest, without routes; or None.
+        statsd_port: Port of a sink for metrics, 0 for none.
     """
 
     name: str
@@ -56,6 +57,7 @@
     policy: str = 'expected-time'
     queue_per_slot: float = 1.0
     relay: RelayPlan | None = None
+    statsd_port: int = 0
 
 
 GUILD = Shape('guild', ('north-yard', 'south-yard', 'east-yard'), 11)
@@ -201,6 +203,11 @@
             'entries': self._list_peers(self.entries, role, index),
             'admin': {'is_loopback_open': True},
         }
+        if self._shape.statsd_port:
+            settings['statsd'] = {
+                'host': '127.0.0.1',
+                'port': self._shape.statsd_port,
+            }
         match role:
             case 'control':
                 folder = self._folder / f'data-{address.name}'
--- /dev/null
+++ b/bench/sink.py
@@ -0,0 +1,47 @@
+"""A statsd sink: the latest gauges and the sums of counters by name."""
+
+import collections
+import socket
+import threading
+
+from cumintack.transport.http_server import find_free_port
+
+MAX_DATAGRAM = 65536
+
+
+class Sink:
+    """A UDP socket and a thread that reads it."""
+
+    __slots__ = ('_socket', '_stopped', 'counts', 'gauges', 'port')
+
+    def __init__(self) -> None:
+        """Listen on loopback."""
+        self.port = find_free_port()
+        self.gauges: dict[str, float] = {}
+        self.counts: collections.Counter[str] = collections.Counter()
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._socket.bind(('127.0.0.1', self.port))
+        self._socket.settimeout(0.2)
+        self._stopped = threading.Event()
+        threading.Thread(target=self._read, daemon=True).start()
+
+    def stop(self) -> None:
+        """Stop to read."""
+        self._stopped.set()
+
+    def _read(self) -> None:
+        while not self._stopped.is_set():
+            try:
+                datagram = self._socket.recv(MAX_DATAGRAM)
+            except TimeoutError:
+                continue
+            for line in datagram.decode().splitlines():
+                self._take(line)
+
+    def _take(self, line: str) -> None:
+        name, _, rest = line.partition(':')
+        number, _, kind = rest.partition('|')
+        if kind.startswith('g'):
+            self.gauges[name] = float(number)
+        elif kind.startswith('c'):
+            self.counts[name] += int(number)
--- a/cumintack/daemon/node.py
+++ b/cumintack/daemon/node.py
@@ -48,7 +48,7 @@
 from cumintack.state.events import EventRing, get_events, record_event
 from cumintack.transport.clock import Clock, get_wall_ms
 from cumintack.transport.keys import LinkKeys
-from cumintack.transport.links import Links
+from cumintack.transport.links import LinkCounters, Links
 from cumintack.transport.metrics import Metrics
 
 LOOP_WAIT_S = 0.01
@@ -390,8 +390,14 @@
             self._send_status()
         if now_s >= self._flush_at_s:
             self._flush_at_s = now_s + FLUSH_INTERVAL_S
+            self._gauge_links()
             self.metrics.flush(self._sent_counts)
 
+    def _gauge_links(self) -> None:
+        counters = self.links.counters
+        for name in LinkCounters.__slots__:
+            self.metrics.gauge(f'links.{name}', getattr(counters, name))
+
     def _send_status(self) -> None:
         settings = self.settings
         status = NodeStatus(
