--- a/cumintack/cli/main.py
+++ b/cumintack/cli/main.py
@@ -7,9 +7,12 @@
 from result import Err, Ok
 
 from cumintack.cli.api import Api, ApiError, Applied
+from cumintack.cli.reference import create_reference
 from cumintack.cli.rendering import render_rows, render_timeline
 from cumintack.coordination.querying import Rows
+from cumintack.coordination.timeline import merge_events
 from cumintack.daemon.settings import load_settings
+from cumintack.transport.event_file import read_events
 from cumintack.transport.keys import create_key_files
 
 EXIT_FAILED = 1
@@ -177,6 +180,13 @@
 @click.option('--limit', default=DEFAULT_EVENTS)
 @click.option('--format', 'style', type=TIMELINE_STYLES, default='table')
 @click.option('--output', type=PATH, default=None)
+@click.option(
+    '--file',
+    'paths',
+    type=PATH,
+    multiple=True,
+    help='Event file of a process that died; may be given several times.',
+)
 @click.pass_obj
 def timeline(
     tool: Tool,
@@ -184,12 +194,17 @@
     limit: int,
     style: str,
     output: pathlib.Path | None,
+    paths: tuple[pathlib.Path, ...],
 ) -> None:
     """Show the events of all processes in causal order."""
     match tool.api.fetch_timeline(subject, limit):
         case Err(error):
             fail(error)
         case Ok(found):
+            events = list(found.events)
+            for path in paths:
+                events.extend(read_events(path, subject))
+            found = merge_events(events, found.missing, limit)
             if output is not None and output.suffix == '.svg':
                 style = 'svg'
             text = render_timeline(found, style)
@@ -212,6 +227,12 @@
             click.echo(f'{path}: good settings of {settings.name}')
 
 
+@main.command()
+def reference() -> None:
+    """Print the reference page of settings, keys and metrics."""
+    click.echo(create_reference(), nl=False)
+
+
 @main.command()
 @click.argument('folder', type=PATH)
 def keys(folder: pathlib.Path) -> None:
--- /dev/null
+++ b/cumintack/cli/reference_test.py
@@ -0,0 +1,33 @@
+"""The reference page and the table of metrics follow the code."""
+
+import pathlib
+import re
+
+from cumintack.cli.reference import create_reference
+from cumintack.daemon.metric_names import METRIC_NAMES
+
+ROOT = pathlib.Path(__file__).parents[2]
+NOTE = re.compile(r"(?:Note|count)\(\s*'([a-z]+\.[a-z_-]+)'")
+
+
+def test_page_is_current() -> None:
+    """The committed page is what the code gives."""
+    page = (ROOT / 'docs' / 'REFERENCE.md').read_text(encoding='utf-8')
+    assert page == create_reference()
+
+
+def test_every_event_is_in_the_table() -> None:
+    """Each event named in the code is a counter in the table."""
+    known = {metric.name for metric in METRIC_NAMES}
+    named = set()
+    for path in (ROOT / 'cumintack').rglob('*.py'):
+        if not path.name.endswith('_test.py'):
+            named.update(NOTE.findall(path.read_text(encoding='utf-8')))
+    assert named
+    assert named <= known
+
+
+def test_settings_have_meanings() -> None:
+    """No setting stands in the page without a meaning."""
+    page = create_reference().partition('## Keys')[0]
+    assert not re.findall(r'^\| `\w+` \| \S+ \|  \|$', page, re.MULTILINE)
--- a/cumintack/daemon/node.py
+++ b/cumintack/daemon/node.py
@@ -7,6 +7,7 @@
 
 import collections
 import contextlib
+import pathlib
 import secrets
 import socket
 from collections.abc import Callable
@@ -47,6 +48,7 @@
 from cumintack.state.errors import ErrorCode
 from cumintack.state.events import EventRing, get_events, record_event
 from cumintack.transport.clock import Clock, get_wall_ms
+from cumintack.transport.event_file import EventFile
 from cumintack.transport.keys import LinkKeys
 from cumintack.transport.links import LinkCounters, Links
 from cumintack.transport.metrics import Metrics
@@ -98,6 +100,7 @@
         '_posted',
         '_sent_counts',
         '_status_at_s',
+        '_event_file',
         '_flush_at_s',
         '_stop_deadline_s',
         '_wake_reader',
@@ -143,6 +146,10 @@
         self.parts: list[Part] = []
         names = [peer.name for peer in settings.control_replicas]
         self.calls = CallTable(names)
+        self._event_file: EventFile | None = None
+        if settings.log.events_file:
+            path = pathlib.Path(settings.log.events_file)
+            self._event_file = EventFile(path)
         self._handlers: dict[int, CallHandler] = {}
         self._posted: collections.deque[Callable[[], None]] = (
             collections.deque()
@@ -199,13 +206,15 @@
 
     def note(self, note: Note) -> None:
         """Record an event of the time line and count it."""
-        record_event(
+        event = record_event(
             self.ring,
             get_wall_ms(self.clock),
             note.name,
             note.subject,
             note.detail,
         )
+        if self._event_file is not None:
+            self._event_file.append(event)
         self.metrics.count(note.name)
 
     def call(
@@ -250,6 +259,8 @@
             self.links.send(peer, Goodbye(self.settings.name))
         self.metrics.flush(self._sent_counts)
         self.links.close(GOODBYE_LINGER_S)
+        if self._event_file is not None:
+            self._event_file.close()
         logger.info('node: stopped')
 
     def _is_done(self) -> bool:
--- a/cumintack/daemon/settings.py
+++ b/cumintack/daemon/settings.py
@@ -130,7 +130,13 @@
 
 
 class StatsdSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Where metrics go; an empty host sends none."""
+    """Where metrics go.
+
+    Attributes:
+        host: Host of the sink; empty to send nothing.
+        port: UDP port of the sink.
+        prefix: First part of every name, before that of the process.
+    """
 
     host: str = ''
     port: int = 8125
@@ -138,7 +144,13 @@
 
 
 class LogSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Logs: the least level, and a file for events, or empty."""
+    """Logs.
+
+    Attributes:
+        level: The least level to write: debug, info, warning or error.
+        events_file: File to which events are appended as JSON lines, for
+            the time line of a process that died; empty for none.
+    """
 
     level: str = 'info'
     events_file: str = ''
--- a/cumintack/transport/http_server.py
+++ b/cumintack/transport/http_server.py
@@ -204,17 +204,28 @@
     return peer.startswith('127.') or peer == '::1'
 
 
+def _iter_ports() -> Iterator[int]:
+    first = secrets.randbelow(HIGHEST_PORT - LOWEST_PORT)
+    while True:
+        first = (first + 1) % (HIGHEST_PORT - LOWEST_PORT)
+        yield LOWEST_PORT + first
+
+
+_PORTS = _iter_ports()
+
+
 def find_free_port() -> int:
     """Find a port that is free on loopback now.
 
     The system gives ports above this range to outgoing connections, which
-    would take a port found there before it is bound.
+    would take a port found there before it is bound. Within one process no
+    port is given twice before all were.
 
     Returns:
         The port.
     """
     while True:
-        port = secrets.choice(range(LOWEST_PORT, HIGHEST_PORT))
+        port = next(_PORTS)
         with socket.socket() as probe:
             if probe.connect_ex(('127.0.0.1', port)) != 0:
                 return port
--- a/cumintack/transport/keys.py
+++ b/cumintack/transport/keys.py
@@ -91,11 +91,7 @@
     authenticator.start()
     authenticator.configure_curve_callback(
         domain='*',
-        credentials_provider=_OwnKeyOnly(
-            zmq.utils.z85.encode(
-                zmq.utils.z85.decode(keys.public),
-            )
-        ),
+        credentials_provider=_OwnKeyOnly(keys.public),
     )
     socket.curve_publickey = keys.public
     socket.curve_secretkey = keys.secret
--- a/cumintack/transport/links.py
+++ b/cumintack/transport/links.py
@@ -12,6 +12,7 @@
 
 import structlog
 import zmq
+from zmq.auth.thread import ThreadAuthenticator
 from result import Err, Ok
 
 from cumintack.protocol.codec import (
@@ -90,6 +91,7 @@
     """All links of one process; used by its loop thread only."""
 
     __slots__ = (
+        '_authenticator',
         '_clock',
         '_context',
         '_dialled',
@@ -119,6 +121,7 @@
         self._ring = ring
         self._keys = keys
         self._context = zmq.Context()
+        self._authenticator: ThreadAuthenticator | None = None
         self._poller = zmq.Poller()
         self._router: zmq.Socket[bytes] | None = None
         self._dialled: dict[str, DialledLink] = {}
@@ -135,7 +138,11 @@
         router.setsockopt(zmq.ROUTER_HANDOVER, 1)
         router.setsockopt(zmq.ROUTER_MANDATORY, 1)
         if self._keys:
-            secure_server(self._context, router, self._keys)
+            self._authenticator = secure_server(
+                self._context,
+                router,
+                self._keys,
+            )
         router.bind(f'tcp://{address}')
         self._router = router
         self._poller.register(router, zmq.POLLIN)
@@ -337,6 +344,8 @@
             link.socket.close(linger=linger_ms)
         if self._router is not None:
             self._router.close(linger=linger_ms)
+        if self._authenticator is not None:
+            self._authenticator.stop()
         self._context.term()
 
 
--- /dev/null
+++ b/cumintack/transport/links_test.py
@@ -0,0 +1,117 @@
+"""Links over real sockets: keys, strangers, bad bytes, silent peers."""
+
+import pathlib
+import time
+
+import zmq
+
+from cumintack.protocol.codec import Envelope
+from cumintack.protocol.messages import Goodbye
+from cumintack.state.events import EventRing
+from cumintack.transport.clock import SystemClock
+from cumintack.transport.http_server import find_free_port
+from cumintack.transport.keys import LinkKeys, create_key_files, load_keys
+from cumintack.transport.links import Links
+
+WAIT_S = 10.0
+POLL_S = 0.02
+
+
+def _create(name: str, keys: LinkKeys | None) -> Links:
+    return Links(name, 'i1', SystemClock(), EventRing(name, 10), keys)
+
+
+def _exchange(server: Links, client: Links, tries_s: float) -> list[Envelope]:
+    """Send from the client until something arrives, or time is over."""
+    received: list[Envelope] = []
+    deadline_s = time.monotonic() + tries_s
+    while not received and time.monotonic() < deadline_s:
+        client.send('server', Goodbye('client'))
+        server.receive(POLL_S, received.append)
+    return received
+
+
+def _connect(server: Links, client: Links) -> str:
+    address = f'127.0.0.1:{find_free_port()}'
+    server.listen(address)
+    client.dial('server', address)
+    return address
+
+
+def test_same_keys_talk(tmp_path: pathlib.Path) -> None:
+    """Processes with the key of the deployment exchange messages."""
+    keys = load_keys(create_key_files(tmp_path))
+    server, client = _create('server', keys), _create('client', keys)
+    _connect(server, client)
+    received = _exchange(server, client, WAIT_S)
+    assert received[0].message == Goodbye('client')
+    assert received[0].sender == 'client'
+    server.close(0)
+    client.close(0)
+
+
+def test_strangers_are_refused(tmp_path: pathlib.Path) -> None:
+    """A process with another key, or without one, never gets through."""
+    keys = load_keys(create_key_files(tmp_path / 'own'))
+    others = load_keys(create_key_files(tmp_path / 'other'))
+    for stranger_keys in (others, None):
+        server = _create('server', keys)
+        stranger = _create('client', stranger_keys)
+        _connect(server, stranger)
+        assert _exchange(server, stranger, 1.0) == []
+        assert server.counters.malformed == 0
+        server.close(0)
+        stranger.close(0)
+
+
+def test_bad_bytes_are_dropped() -> None:
+    """Bytes that are no message are counted and do not stop the process."""
+    server, client = _create('server', None), _create('client', None)
+    address = _connect(server, client)
+    context = zmq.Context()
+    raw = context.socket(zmq.DEALER)
+    raw.connect(f'tcp://{address}')
+    deadline_s = time.monotonic() + WAIT_S
+    while not server.counters.malformed and time.monotonic() < deadline_s:
+        raw.send(b'\xff\x00 no message')
+        server.receive(POLL_S, lambda _envelope: None)
+    assert server.counters.malformed
+    assert _exchange(server, client, WAIT_S)
+    raw.close(linger=0)
+    context.term()
+    server.close(0)
+    client.close(0)
+
+
+def test_silent_peer_is_dialled_anew() -> None:
+    """A link whose probes are not answered is closed and dialled afresh."""
+    client = _create('client', None)
+    changed: list[str] = []
+    client.on_route_changed = changed.append
+    client.dial('server', f'127.0.0.1:{find_free_port()}')
+    deadline_s = time.monotonic() + WAIT_S
+    while not changed and time.monotonic() < deadline_s:
+        client.probe()
+        client.receive(POLL_S, lambda _envelope: None)
+    assert changed == ['server']
+    assert client.counters.redialled == 1
+    client.close(0)
+
+
+def test_two_that_dial_each_other_stay() -> None:
+    """Probes are answered over the socket that asked, in both directions."""
+    one, two = _create('one', None), _create('two', None)
+    addresses = [f'127.0.0.1:{find_free_port()}' for _ in range(2)]
+    one.listen(addresses[0])
+    two.listen(addresses[1])
+    one.dial('two', addresses[1])
+    two.dial('one', addresses[0])
+    ends_at_s = time.monotonic() + 2.5
+    while time.monotonic() < ends_at_s:
+        for links in (one, two):
+            links.probe()
+            links.receive(POLL_S, lambda _envelope: None)
+    assert one.counters.redialled == 0
+    assert two.counters.redialled == 0
+    one.close(0)
+    two.close(0)
