--- a/cumintack/transport/http_server.py
+++ b/cumintack/transport/http_server.py
@@ -1,6 +1,7 @@
 """HTTP server: requests in threads, with limits against hostile senders."""
 
 from http import HTTPStatus
+import itertools
 import secrets
 import socket
 import threading
@@ -204,14 +205,14 @@
     return peer.startswith('127.') or peer == '::1'
 
 
-def _iter_ports() -> Iterator[int]:
-    first = secrets.randbelow(HIGHEST_PORT - LOWEST_PORT)
-    while True:
-        first = (first + 1) % (HIGHEST_PORT - LOWEST_PORT)
-        yield LOWEST_PORT + first
+def _list_ports() -> list[int]:
+    """List the ports from a random one on, each once."""
+    ports = list(range(LOWEST_PORT, HIGHEST_PORT))
+    first = secrets.randbelow(len(ports))
+    return ports[first:] + ports[:first]
 
 
-_PORTS = _iter_ports()
+_PORTS = itertools.cycle(_list_ports())
 
 
 def find_free_port() -> int:
