--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -11,8 +11,10 @@
 import click
 
 from bench import (
+    scenario_batch,
     scenario_control,
     scenario_cost,
+    scenario_entry,
     scenario_path,
     scenario_scheduler,
     scenario_service,
@@ -149,5 +151,19 @@
     _run_in_folder(lambda folder: scenario_cost.run_changes(folder, seconds))
 
 
+@main.command('batch')
+@click.option('--seconds', default=20.0)
+def batch_command(seconds: float) -> None:
+    """Run batch tasks beside quick requests, for both users' weights."""
+    _run_in_folder(lambda folder: scenario_batch.run(folder, seconds))
+
+
+@main.command('entry-rate')
+@click.option('--seconds', default=4.0)
+def entry_rate_command(seconds: float) -> None:
+    """Compare the rate of an entry with that of a bare HTTP server."""
+    _run_in_folder(lambda folder: scenario_entry.run(folder, seconds))
+
+
 if __name__ == '__main__':
     main()
--- a/bench/deployments.py
+++ b/bench/deployments.py
@@ -249,6 +249,8 @@
                 str(self._shape.spread),
                 '--announced',
                 self._relayed.get(('', worker.upstream), ''),
+                '--agent',
+                worker.agent if self._shape.has_agents else '',
             ],
             self._folder,
         )
--- /dev/null
+++ b/bench/scenario_batch.py
@@ -0,0 +1,203 @@
+"""Batch tasks beside quick requests, for the weights of both users."""
+
+import collections
+import pathlib
+import threading
+import time
+
+import msgspec
+
+from bench.deployments import AUTHORITY, GUILD, SERVICE, Deployment, Shape
+from bench.load import LoadPlan, LoadResult, compute_percentiles_ms
+from bench.running import LoadRun, create_plans, print_table
+from cumintack.coordination.querying import Cell
+from cumintack.demo.sample_worker import WorkerLedger
+
+WORK_MS = 50.0
+QUICK_RATE = 150.0
+NOISY_TASKS = 66
+QUIET_TASKS = 110
+NOISY_RUN_MS = 6000
+QUIET_RUN_MS = 4000
+NOISE = 0.6
+COLUMNS = (
+    'case',
+    'quick answers',
+    'not completed',
+    'p50 ms',
+    'p99 ms',
+    'p99 / alone',
+    'tasks done',
+    'tasks/s',
+    'evictions',
+    'doubled',
+    'overfull',
+)
+
+
+class Weights(msgspec.Struct, frozen=True):
+    """Weights of a user, as the settings of the examples have them."""
+
+    tail_latency: float
+    throughput: float
+    evictions: float
+
+
+CASES: dict[str, tuple[Shape, Weights]] = {
+    'guild': (GUILD, Weights(4, 1, 1)),
+    'authority': (AUTHORITY, Weights(1, 3, 3)),
+    'no reaction': (GUILD, Weights(0, 100, 100)),
+}
+
+
+def run(folder: pathlib.Path, seconds: float) -> None:
+    """Run quick requests alone, then beside batch tasks, for each user.
+
+    Args:
+        folder: Where logs go.
+        seconds: Length of each load.
+    """
+    rows: list[tuple[Cell, ...]] = []
+    for name, (shape, weights) in CASES.items():
+        case_folder = folder / name.replace(' ', '-')
+        case_folder.mkdir()
+        used = msgspec.structs.replace(
+            shape,
+            work_ms=WORK_MS,
+            spread=0.2,
+            has_agents=True,
+        )
+        rows.extend(_run_case(case_folder, name, used, weights, seconds))
+    print_table(
+        f'{NOISY_TASKS} noisy and {QUIET_TASKS} quiet tasks beside '
+        f'{QUICK_RATE:.0f} quick requests/s; a noisy task slows the service '
+        f'of its worker by {NOISE:.0%}',
+        COLUMNS,
+        rows,
+    )
+
+
+def _run_case(
+    folder: pathlib.Path,
+    name: str,
+    shape: Shape,
+    weights: Weights,
+    seconds: float,
+) -> list[tuple[Cell, ...]]:
+    deployment = Deployment(shape, folder)
+    deployment.start()
+    try:
+        deployment.command(
+            f'set scheduler.weight_tail_latency = {weights.tail_latency}, '
+            f'scheduler.weight_throughput = {weights.throughput}, '
+            f'scheduler.weight_evictions = {weights.evictions}',
+        )
+        deployment.command('team t cores_milli = 999000 memory_mb = 999000')
+        alone = _load(deployment, folder, seconds)
+        submitted_at_s = time.monotonic()
+        jobs = _submit(deployment)
+        finished: list[float] = []
+        watcher = threading.Thread(
+            target=_watch,
+            args=(deployment, jobs, finished),
+        )
+        watcher.start()
+        beside = _load(deployment, folder, seconds)
+        watcher.join()
+        ledgers = deployment.fetch_worker_ledgers()
+        evicted = deployment.query(
+            'select task, evicted from tasks where evicted > 0 limit 9999',
+        )
+    finally:
+        deployment.stop()
+    took_s = max(finished, default=submitted_at_s) - submitted_at_s
+    evictions = sum(int(str(row[1])) for row in evicted.rows)
+    batch = _judge_batch(ledgers, took_s, evictions)
+    alone_ms = compute_percentiles_ms(alone.latencies_us)[1]
+    nothing: tuple[Cell, ...] = ('', '', '', '', '')
+    return [
+        _create_row(f'{name}, alone', alone, alone_ms, nothing),
+        _create_row(f'{name}, beside tasks', beside, alone_ms, batch),
+    ]
+
+
+def _judge_batch(
+    ledgers: list[WorkerLedger],
+    took_s: float,
+    evictions: int,
+) -> tuple[Cell, ...]:
+    runs: collections.Counter[str] = collections.Counter()
+    for ledger in ledgers:
+        runs.update(ledger.completed)
+    doubled = [one for one in runs.values() if one > 1]
+    overfull = [one.overfull for one in ledgers]
+    return (
+        len(runs),
+        round(len(runs) / took_s, 2) if took_s else 0,
+        evictions,
+        len(doubled),
+        sum(overfull),
+    )
+
+
+def _create_row(
+    case: str,
+    result: LoadResult,
+    alone_ms: float,
+    batch: tuple[Cell, ...],
+) -> tuple[Cell, ...]:
+    latencies = compute_percentiles_ms(result.latencies_us)
+    return (
+        case,
+        result.completed,
+        result.offered - result.completed,
+        round(latencies[0], 1),
+        round(latencies[1], 1),
+        round(latencies[1] / max(0.001, alone_ms), 2),
+        *batch,
+    )
+
+
+def _load(
+    deployment: Deployment,
+    folder: pathlib.Path,
+    seconds: float,
+) -> LoadResult:
+    plan = LoadPlan(
+        tuple(entry.http for entry in deployment.entries),
+        f'/services/{SERVICE}/quotes',
+        QUICK_RATE,
+        seconds,
+        64,
+        2000,
+        '',
+    )
+    return LoadRun(create_plans(plan, 1, folder), folder).wait(seconds + 30)
+
+
+def _submit(deployment: Deployment) -> list[str]:
+    return [
+        deployment.command(
+            f'submit noisy for t tasks = {NOISY_TASKS} cores_milli = 3000 '
+            f'memory_mb = 1000 kind = noisy idempotent = false '
+            f'payload = "run_ms={NOISY_RUN_MS}&noise={NOISE}"',
+        ),
+        deployment.command(
+            f'submit quiet for t tasks = {QUIET_TASKS} cores_milli = 2000 '
+            f'memory_mb = 1000 kind = quiet '
+            f'payload = "run_ms={QUIET_RUN_MS}"',
+        ),
+    ]
+
+
+def _watch(
+    deployment: Deployment,
+    jobs: list[str],
+    finished: list[float],
+) -> None:
+    deadline_s = time.monotonic() + 120
+    while len(finished) < len(jobs) and time.monotonic() < deadline_s:
+        rows = deployment.query('select job from jobs where status = completed')
+        while len(finished) < len(rows.rows):
+            finished.append(time.monotonic())
+        time.sleep(0.2)
--- a/cumintack/coordination/interference.py
+++ b/cumintack/coordination/interference.py
@@ -50,10 +50,12 @@
     Attributes:
         step: 0 for none, up to 3 for eviction.
         changed_at_s: When it last changed.
+        kind: The kind that it is about, kept while no task of it is there.
     """
 
     step: int = 0
-    changed_at_s: float = 0
+    changed_at_s: float = float('-inf')
+    kind: str = ''
 
 
 class Reaction(msgspec.Struct, frozen=True):
@@ -136,17 +138,18 @@
     """
     level = table.levels.setdefault(sample.worker, Level())
     _change_step(level, sample, weights, now_s)
-    worst = _find_worst(table, sample.kinds)
-    if not worst or level.step < LEVEL_AVOID:
+    if sample.kinds:
+        level.kind = _find_worst(table, sample.kinds)
+    if not level.kind or level.step < LEVEL_AVOID:
         table.throttled.pop(sample.worker, None)
         return Reaction()
-    kinds = frozenset((worst,))
+    kinds = frozenset((level.kind,))
     if level.step >= LEVEL_THROTTLE:
         table.throttled[sample.worker] = kinds
     else:
         table.throttled.pop(sample.worker, None)
     is_evicting = level.step == MAX_LEVEL and level.changed_at_s == now_s
-    return Reaction(kinds, worst if is_evicting else '')
+    return Reaction(kinds, level.kind if is_evicting else '')
 
 
 def _change_step(
@@ -157,7 +160,7 @@
 ) -> None:
     if now_s - level.changed_at_s < STEP_PAUSE_S:
         return
-    if sample.slowdown > weights.tolerated:
+    if sample.slowdown > weights.tolerated and sample.kinds:
         highest = MAX_LEVEL
         if sample.slowdown < weights.evicted_from:
             highest = LEVEL_THROTTLE
--- /dev/null
+++ b/cumintack/coordination/slowdown_test.py
@@ -0,0 +1,31 @@
+"""The slowdown of a service beside its own best."""
+
+from cumintack.coordination.slowdown import (
+    WINDOW_S,
+    SlowdownMeter,
+    compute_slowdown,
+    take_served,
+)
+
+
+def _serve(meter: SlowdownMeter, served_s: float, from_s: float) -> None:
+    for number in range(20):
+        take_served(meter, served_s, from_s + number * WINDOW_S / 20)
+
+
+def test_slowdown_is_relative_to_the_best() -> None:
+    """Twice the best answer time is a slowdown of two."""
+    meter = SlowdownMeter()
+    _serve(meter, 0.01, 0)
+    _serve(meter, 0.02, WINDOW_S)
+    take_served(meter, 0.02, 2 * WINDOW_S)
+    assert round(compute_slowdown(meter, 2 * WINDOW_S)) == 2
+
+
+def test_nothing_is_said_without_answers() -> None:
+    """Without recent answers there is no slowdown to report."""
+    meter = SlowdownMeter()
+    assert not compute_slowdown(meter, 0)
+    _serve(meter, 0.01, 0)
+    take_served(meter, 0.01, WINDOW_S)
+    assert not compute_slowdown(meter, 100 * WINDOW_S)
--- /dev/null
+++ b/cumintack/coordination/timeline_test.py
@@ -0,0 +1,59 @@
+"""The time line: causes before effects, missing processes named."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cumintack.coordination.timeline import merge_events
+from cumintack.state.events import (
+    Event,
+    EventRing,
+    Stamp,
+    compute_received_stamp,
+    get_events,
+    record_event,
+)
+
+
+@given(
+    steps=st.lists(
+        st.tuples(st.integers(0, 2), st.integers(0, 2), st.integers(0, 50)),
+        max_size=40,
+    ),
+)
+def test_effects_follow_causes(steps: list[tuple[int, int, int]]) -> None:
+    """However the clocks differ, a receipt sorts after its sending."""
+    rings = [EventRing(f'p{number}', 1000) for number in range(3)]
+    clocks = [1000, 0, 500000]
+    pairs: list[tuple[Event, Event]] = []
+    for source, target, passed_ms in steps:
+        clocks[source] += passed_ms
+        sent = record_event(rings[source], clocks[source], 'sent', 'x')
+        ring = rings[target]
+        ring.stamp = compute_received_stamp(
+            ring.stamp,
+            sent.stamp,
+            clocks[target],
+        )
+        got = record_event(ring, clocks[target], 'received', 'x')
+        pairs.append((sent, got))
+    events = [event for ring in rings for event in get_events(ring, '', 999)]
+    order = list(merge_events(events, (), 9999).events)
+    for sent, got in pairs:
+        assert order.index(sent) < order.index(got)
+
+
+def test_missing_processes_are_named() -> None:
+    """A gap does not look like silence."""
+    event = Event(Stamp(1), 'a', 'started', 'x')
+    timeline = merge_events([event, event], ('b',), 10)
+    assert timeline.events == (event,)
+    assert timeline.missing == ('b',)
+
+
+def test_ring_forgets_the_oldest() -> None:
+    """A full ring keeps the latest events."""
+    ring = EventRing('p', 3)
+    for number in range(5):
+        record_event(ring, number, f'event{number}', 'x')
+    names = [event.name for event in get_events(ring, '', 10)]
+    assert names == ['event2', 'event3', 'event4']
--- a/cumintack/demo/sample_upstream.py
+++ b/cumintack/demo/sample_upstream.py
@@ -14,7 +14,9 @@
 
 import click
 import msgspec
+from result import Ok
 
+from cumintack.demo.sample_worker import WorkerLedger
 from cumintack.state.requests import Header
 from cumintack.transport.http_client import HttpClient
 from cumintack.transport.http_server import (
@@ -33,6 +35,7 @@
 EXTRA_THREADS = 4
 MAX_BODY_BYTES = 1048576
 MAX_ANSWER_BYTES = 65536
+MAX_LEDGER_BYTES = 8388608
 HANG_CHECK_S = 0.05
 DEFAULT_WORK_MS = 5.0
 JSON_HEADERS = {'Content-Type': 'application/json'}
@@ -76,12 +79,14 @@
     """The stand-in: a server, a ledger and an announcer."""
 
     __slots__ = (
+        '_agent_address',
         '_announced',
         '_at_once',
         '_behaviour',
         '_generator',
         '_lock',
         '_most_at_once',
+        '_noise',
         '_runs',
         '_server',
         '_service',
@@ -99,10 +104,13 @@
         slots: int,
         behaviour: Behaviour,
         announced: str = '',
+        agent_address: str = '',
     ) -> None:
         """Serve at ``address``, announced to the guard if there is one."""
         self.guard_address = guard_address
         self._announced = announced
+        self._agent_address = agent_address
+        self._noise = 0.0
         self._service = service
         self._slots = slots
         self._behaviour = behaviour
@@ -154,11 +162,23 @@
     def _announce(self) -> None:
         client = HttpClient(self.guard_address, 1, MAX_ANSWER_BYTES)
         is_stopped = False
+        agent = None
+        if self._agent_address:
+            agent = HttpClient(self._agent_address, 1, MAX_LEDGER_BYTES)
         while not is_stopped:
             body = msgspec.json.encode(self._describe())
             client.send('POST', ANNOUNCE_PATH, JSON_HEADERS, body, 1.0)
+            if agent is not None:
+                self._feel_noise(agent)
             is_stopped = self._stopped.wait(ANNOUNCE_INTERVAL_S)
 
+    def _feel_noise(self, agent: HttpClient) -> None:
+        """Take note of how much the tasks beside it slow it down."""
+        sent = agent.send('GET', '/v1/ledger', {}, b'', 1.0)
+        if isinstance(sent, Ok):
+            ledger = msgspec.json.decode(sent.ok_value.body, type=WorkerLedger)
+            self._noise = ledger.noise
+
     def _describe(self) -> Announcement:
         return Announcement(
             self._service,
@@ -211,7 +231,8 @@
         while self._behaviour.is_hung and not self._stopped.is_set():
             time.sleep(HANG_CHECK_S)
         change = 1 + behaviour.spread * (2 * self._generator.random() - 1)
-        time.sleep(behaviour.work_ms * behaviour.factor * change / 1000)
+        factor = behaviour.factor * (1 + self._noise)
+        time.sleep(behaviour.work_ms * factor * change / 1000)
 
 
 @click.command()
@@ -222,6 +243,7 @@
 @click.option('--work-ms', default=DEFAULT_WORK_MS)
 @click.option('--spread', default=0.5)
 @click.option('--announced', default='')
+@click.option('--agent', 'agent_address', default='')
 def main(
     address: str,
     guard_address: str,
@@ -230,6 +252,7 @@
     work_ms: float,
     spread: float,
     announced: str,
+    agent_address: str,
 ) -> None:
     """Run the stand-in for an upstream until it is told to stop."""
     upstream = SampleUpstream(
@@ -239,6 +262,7 @@
         slots,
         Behaviour(work_ms, spread),
         announced,
+        agent_address,
     )
     stopped = threading.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/cumintack/demo/sample_worker.py
+++ b/cumintack/demo/sample_worker.py
@@ -56,6 +56,7 @@
     done_ms: float
     lease_until_ms: int
     is_failing: bool = False
+    noise: float = 0
 
 
 class WorkerLedger(msgspec.Struct, frozen=True):
@@ -65,11 +66,13 @@
         completed: Completed attempts of each task.
         overfull: Times at which more was running than the worker holds.
         started: Attempts started.
+        noise: Slowdown that the running tasks cause to the service there.
     """
 
     completed: dict[str, int]
     overfull: int
     started: int
+    noise: float = 0
 
 
 class SampleWorker:
@@ -119,6 +122,7 @@
                 dict(self._completed),
                 self._overfull,
                 self._started,
+                self._compute_noise(),
             )
 
     def stop(self) -> None:
@@ -145,8 +149,7 @@
         held = attempt.held
         if held.phase != 'running':
             return
-        pace = THROTTLE_FACTOR if held.is_throttled else 1.0
-        attempt.done_ms += passed_ms * pace
+        attempt.done_ms += passed_ms * _get_pace(attempt)
         checkpoint = f'done_ms={attempt.done_ms:.0f}'
         phase = 'running'
         if attempt.is_failing:
@@ -223,6 +226,7 @@
             float(resumed.get('done_ms', 0)),
             body.lease_until_ms,
             self._is_failing or 'fail' in options,
+            float(options.get('noise', 0)),
         )
         if not is_within(self._compute_used(), self._spec.holds):
             self._overfull += 1
@@ -272,6 +276,13 @@
                 used = compute_sum(used, attempt.need)
         return used
 
+    def _compute_noise(self) -> float:
+        return sum(
+            attempt.noise * _get_pace(attempt)
+            for attempt in self._attempts.values()
+            if attempt.held.phase == 'running'
+        )
+
     def _report(self) -> WorkerReport:
         with self._lock:
             return WorkerReport(
@@ -282,6 +293,10 @@
             )
 
 
+def _get_pace(attempt: RunningAttempt) -> float:
+    return THROTTLE_FACTOR if attempt.held.is_throttled else 1.0
+
+
 def _read_clock_ms() -> int:
     return int(time.monotonic() * 1000)
 
