Cheaper heartbeats, quicker loss detection, a stop that waits for silence

Rules of a key were searched by pattern at each request. Change: renewals hurry nothing; orders for held attempts carry their key only; recorded starts are not reported again; the leader hears once a second unless there is news; loops wait 20 ms; rules are cached. Lost connections show after twice the service time, links after 0.8 s. An entry that stops answers 'not run' by itself and waits 0.2 s of silence.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -67,6 +67,12 @@
     )
 
 
+@main.command('repair')
+def repair_command() -> None:
+    """Lose a disk, replace the replica, lose another one at once."""
+    _run_in_folder(scenario_control.run_repair)
+
+
 @main.command('restart')
 @click.option('--total', default=100000)
 def restart_command(total: int) -> None:
@@ -165,5 +171,14 @@
     _run_in_folder(lambda folder: scenario_entry.run(folder, seconds))
 
 
+@main.command('stops')
+@click.option('--seconds', default=6.0)
+def stops_command(seconds: float) -> None:
+    """Stop an entry, a guard and an upstream in good order under load."""
+    _run_in_folder(
+        lambda folder: scenario_service.run_stops(folder, seconds),
+    )
+
+
 if __name__ == '__main__':
     main()
--- a/bench/deployments.py
+++ b/bench/deployments.py
@@ -2,6 +2,7 @@
 
 import pathlib
 import time
+from typing import TypeVar
 
 import msgspec
 import yaml
@@ -20,6 +21,9 @@
 READY_TIMEOUT_S = 40.0
 POLL_S = 0.1
 MAX_ANSWER_BYTES = 67108864
+FETCH_TIMEOUT_S = 10.0
+
+Found = TypeVar('Found')
 
 
 class Shape(msgspec.Struct, frozen=True):
@@ -173,13 +177,20 @@
         centres = self._shape.data_centres
         return centres[index % len(centres)]
 
-    def start_daemon(self, address: Address, role: str, index: int) -> None:
+    def start_daemon(
+        self,
+        address: Address,
+        role: str,
+        index: int,
+        *,
+        is_bootstrap: bool = True,
+    ) -> None:
         """Start one daemon from a settings file."""
         path = self._folder / f'{address.name}.yaml'
         settings = self._create_settings(address, role, index)
         path.write_text(yaml.safe_dump(settings), encoding='utf-8')
         arguments = ['--settings', str(path)]
-        if role == 'control':
+        if role == 'control' and is_bootstrap:
             arguments.append('--bootstrap')
         self.processes[address.name] = BenchProcess(
             address.name,
@@ -326,29 +337,13 @@
 
     def fetch_ledgers(self) -> list[Ledger]:
         """Fetch what every upstream really ran."""
-        ledgers = []
-        for worker in self.workers:
-            client = HttpClient(worker.upstream, 1, MAX_ANSWER_BYTES)
-            sent = client.send('GET', '/ledger', {}, b'', 10.0)
-            client.close()
-            if isinstance(sent, Ok):
-                ledgers.append(
-                    msgspec.json.decode(sent.ok_value.body, type=Ledger),
-                )
-        return ledgers
+        addresses = [worker.upstream for worker in self.workers]
+        return _fetch_all(addresses, '/ledger', Ledger)
 
     def fetch_worker_ledgers(self) -> list[WorkerLedger]:
         """Fetch what every worker really did."""
-        ledgers = []
-        for worker in self.workers:
-            client = HttpClient(worker.agent, 1, MAX_ANSWER_BYTES)
-            sent = client.send('GET', '/v1/ledger', {}, b'', 10.0)
-            client.close()
-            if isinstance(sent, Ok):
-                ledgers.append(
-                    msgspec.json.decode(sent.ok_value.body, type=WorkerLedger),
-                )
-        return ledgers
+        addresses = [worker.agent for worker in self.workers]
+        return _fetch_all(addresses, '/v1/ledger', WorkerLedger)
 
     def get_leader(self) -> str:
         """Return the name of the control replica that leads."""
@@ -377,3 +372,18 @@
             }
             for address in addresses
         ]
+
+
+def _fetch_all(
+    addresses: list[str],
+    path: str,
+    kind: type[Found],
+) -> list[Found]:
+    found = []
+    for address in addresses:
+        client = HttpClient(address, 1, MAX_ANSWER_BYTES)
+        sent = client.send('GET', path, {}, b'', FETCH_TIMEOUT_S)
+        client.close()
+        if isinstance(sent, Ok):
+            found.append(msgspec.json.decode(sent.ok_value.body, type=kind))
+    return found
--- a/bench/load.py
+++ b/bench/load.py
@@ -70,7 +70,8 @@
         on_time: Of these, within the timeout from the due time.
         not_run: Refusals.
         unknown: Requests with an unknown outcome.
-        failed: Requests without any HTTP answer.
+        failed: Requests that were sent and got no HTTP answer.
+        unsent: Requests for which no connection was made.
         wrong: Answers to another request, or not whole.
         late_starts: Requests sent later than due by the load itself.
         latencies_us: Latencies of completed requests.
@@ -87,6 +88,7 @@
     not_run: int = 0
     unknown: int = 0
     failed: int = 0
+    unsent: int = 0
     wrong: int = 0
     late_starts: int = 0
     latencies_us: list[int] = []
@@ -208,7 +210,9 @@
         kind = 'failed'
         is_wrong = False
         reason = 'no answer'
-        if not isinstance(sent, Err):
+        if isinstance(sent, Err):
+            kind = 'unsent' if sent.err_value.is_unsent else 'failed'
+        else:
             answer = sent.ok_value
             named = {
                 header.name.lower(): header.text for header in answer.headers
@@ -245,6 +249,8 @@
                 result.refusals_us.append(took_us)
             case 'unknown':
                 result.unknown += 1
+            case 'unsent':
+                result.unsent += 1
             case _:
                 result.failed += 1
 
@@ -270,6 +276,7 @@
         for name in ('offered', 'completed', 'on_time', 'not_run', 'unknown'):
             setattr(merged, name, getattr(merged, name) + getattr(result, name))
         merged.failed += result.failed
+        merged.unsent += result.unsent
         for reason, count in result.reasons.items():
             before = merged.reasons.get(reason, 0)
             merged.reasons[reason] = before + count
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -51,10 +51,6 @@
             stdin=subprocess.DEVNULL,
         )
 
-    def get_id(self) -> int:
-        """Return the process id."""
-        return self._process.pid
-
     def is_running(self) -> bool:
         """Return whether the process has not ended."""
         return self._process.poll() is None
--- a/bench/scenario_control.py
+++ b/bench/scenario_control.py
@@ -3,6 +3,7 @@
 import os
 import pathlib
 import random
+import shutil
 import tempfile
 import time
 
@@ -19,6 +20,7 @@
 FLOOR_BYTES = 512
 WRITE_PAUSE_S = 0.005
 FAULT_ROUNDS = 5
+REPAIR_ROUNDS = 3
 SETTLE_S = 3.0
 
 
@@ -260,6 +262,70 @@
     )
 
 
+def run_repair(folder: pathlib.Path) -> None:
+    """Lose a disk, replace the replica, lose another one at once.
+
+    Args:
+        folder: Where logs and data go.
+    """
+    deployment = Deployment(SHAPE, folder)
+    deployment.start()
+    writers = Writers(deployment.controls, 16, 10**9)
+    rows: list[tuple[Cell, ...]] = []
+    try:
+        writers.start()
+        time.sleep(SETTLE_S)
+        for number in range(REPAIR_ROUNDS):
+            rows.append(_repair_one(folder, deployment, writers, number))
+        writers.stop()
+        lost = _count_lost(deployment, writers)
+    finally:
+        deployment.stop()
+    broken = sum(writer.broken for writer in writers.writers)
+    print_table(
+        f'A lost disk, a repair, a second loss right after it '
+        f'({len(writers.done_at_s)} commands, {lost} lost, {broken} doubled)',
+        ('round', 'add to vote s', 'gap after the second loss s'),
+        rows,
+    )
+
+
+def _repair_one(
+    folder: pathlib.Path,
+    deployment: Deployment,
+    writers: Writers,
+    number: int,
+) -> tuple[Cell, ...]:
+    leader = deployment.get_leader()
+    others = [
+        control for control in deployment.controls if control.name != leader
+    ]
+    wiped = others[0]
+    index = deployment.controls.index(wiped)
+    deployment.processes[wiped.name].kill()
+    shutil.rmtree(folder / f'data-{wiped.name}')
+    deployment.start_daemon(wiped, 'control', index, is_bootstrap=False)
+    time.sleep(1)
+    started_s = time.monotonic()
+    deployment.command(f'replica add {wiped.name} at {wiped.link}')
+    deployment.wait_for(
+        deployment.api,
+        f'select replica from replicas where replica = {wiped.name} '
+        'and is_voter = true',
+        1,
+    )
+    repaired_s = time.monotonic() - started_s
+    second = others[1]
+    from_s = time.monotonic()
+    deployment.processes[second.name].kill()
+    time.sleep(SETTLE_S)
+    gap_s = writers.find_longest_gap_s(from_s, time.monotonic())
+    second_index = deployment.controls.index(second)
+    deployment.start_daemon(second, 'control', second_index)
+    time.sleep(SETTLE_S)
+    return (number, round(repaired_s, 3), round(gap_s, 3))
+
+
 def run_configuration(folder: pathlib.Path, count: int) -> None:
     """Measure until a change is in force in many processes.
 
--- a/bench/scenario_cost.py
+++ b/bench/scenario_cost.py
@@ -155,7 +155,7 @@
         case_folder.mkdir()
         rows.append(_run_leader_case(case_folder, workers, tasks, seconds))
     print_table(
-        'A leader under heartbeats of emulated workers, two a second each',
+        'A leader under heartbeats of emulated workers, one a second each',
         (
             'workers',
             'tasks on each',
@@ -185,7 +185,7 @@
     )
     deployment = Deployment(shape, folder)
     deployment.start()
-    emulated = EmulatedWorkers(deployment.controls, workers, 0.5)
+    emulated = EmulatedWorkers(deployment.controls, workers, 1.0)
     emulated.start()
     try:
         deployment.wait_for(deployment.api, 'select worker from workers', 100)
--- a/bench/scenario_service.py
+++ b/bench/scenario_service.py
@@ -32,6 +32,7 @@
 TIMEOUT_MS = 2000
 UNLIMITED_QUEUE = 1000.0
 SETTLE_S = 1.0
+HIGH_SHARE = 0.8
 SHARES = (0.5, 0.9, 1.3, 3.0)
 SHAPES = {
     'guild': msgspec.structs.replace(
@@ -49,6 +50,8 @@
 }
 
 Action = Callable[[Deployment], None]
+Rows = list[tuple[Cell, ...]]
+Case = Callable[[Deployment, str], Rows]
 
 
 def compute_capacity(shape: Shape) -> float:
@@ -114,7 +117,29 @@
     """
     shape = SHAPES[name]
     capacity = compute_capacity(shape)
-    rows = []
+
+    def run_case(deployment: Deployment, label: str) -> Rows:
+        rows = []
+        for share in SHARES:
+            plan = _create_plan(deployment, capacity * share, seconds)
+            result = _run_load(plan, folder)
+            rows.append(create_load_row(f'{label} {share:.0%}', result))
+            print_reasons(result)
+            time.sleep(SETTLE_S)
+        return rows
+
+    print_table(
+        f'{name}: {shape.workers} workers of {shape.slots} slots, '
+        f'{WORK_MS} ms of work, capacity {capacity:.0f}/s, '
+        f'timeout {TIMEOUT_MS} ms',
+        LOAD_COLUMNS,
+        _run_both(shape, folder, run_case),
+    )
+
+
+def _run_both(shape: Shape, folder: pathlib.Path, run_case: Case) -> Rows:
+    """Run a case with the policy of the product and with the baseline."""
+    rows: Rows = []
     cases = (('cumintack', shape), ('baseline', create_baseline(shape)))
     for policy, used in cases:
         case_folder = folder / policy
@@ -122,22 +147,10 @@
         deployment = Deployment(used, case_folder)
         deployment.start()
         try:
-            for share in SHARES:
-                plan = _create_plan(deployment, capacity * share, seconds)
-                result = _run_load(plan, case_folder)
-                label = f'{policy} {share:.0%}'
-                rows.append(create_load_row(label, result))
-                print_reasons(result)
-                time.sleep(SETTLE_S)
+            rows.extend(run_case(deployment, policy))
         finally:
             deployment.stop()
-    print_table(
-        f'{name}: {shape.workers} workers of {shape.slots} slots, '
-        f'{WORK_MS} ms of work, capacity {capacity:.0f}/s, '
-        f'timeout {TIMEOUT_MS} ms',
-        LOAD_COLUMNS,
-        rows,
-    )
+    return rows
 
 
 def run_degraded(folder: pathlib.Path, name: str, seconds: float) -> None:
@@ -150,27 +163,22 @@
     """
     shape = SHAPES[name]
     rate_per_s = compute_capacity(shape) / 2
-    rows: list[tuple[Cell, ...]] = []
-    cases = (('cumintack', shape), ('baseline', create_baseline(shape)))
-    for policy, used in cases:
-        case_folder = folder / policy
-        case_folder.mkdir()
-        deployment = Deployment(used, case_folder)
-        deployment.start()
-        try:
-            for fault, action in FAULTS.items():
-                plan = _create_plan(deployment, rate_per_s, seconds)
-                action(deployment)
-                result = _run_load(plan, case_folder)
-                rows.append(create_load_row(f'{policy} {fault}', result))
-                print_reasons(result)
-                _mend(deployment)
-        finally:
-            deployment.stop()
+
+    def run_case(deployment: Deployment, label: str) -> Rows:
+        rows = []
+        for fault, action in FAULTS.items():
+            plan = _create_plan(deployment, rate_per_s, seconds)
+            action(deployment)
+            result = _run_load(plan, folder)
+            rows.append(create_load_row(f'{label} {fault}', result))
+            print_reasons(result)
+            _mend(deployment)
+        return rows
+
     print_table(
         f'{name}: half load, one fault at a time',
         LOAD_COLUMNS,
-        rows,
+        _run_both(shape, folder, run_case),
     )
 
 
@@ -229,6 +237,37 @@
     time.sleep(SETTLE_S * 4)
 
 
+def run_stops(folder: pathlib.Path, seconds: float) -> None:
+    """Stop an entry, a guard and an upstream in good order, under load.
+
+    Args:
+        folder: Where logs and results go.
+        seconds: Length of each load.
+    """
+    shape = SHAPES['guild']
+    rate_per_s = compute_capacity(shape) * HIGH_SHARE
+    deployment = Deployment(shape, folder)
+    deployment.start()
+    rows = []
+    names = (
+        deployment.entries[0].name,
+        deployment.workers[0].name,
+        f'upstream-{deployment.workers[1].name}',
+    )
+    try:
+        for name in names:
+            process = deployment.processes[name]
+            threading.Timer(seconds / 2, process.terminate).start()
+            plan = _create_plan(deployment, rate_per_s, seconds)
+            result = _run_load(plan, folder)
+            rows.append(create_load_row(f'SIGTERM {name}', result))
+            print_line(f'{name}: exit {process.wait()}, {result.unsent} unsent')
+            print_reasons(result)
+    finally:
+        deployment.stop()
+    print_table('Planned stops at 80% load', LOAD_COLUMNS, rows)
+
+
 def run_faults(folder: pathlib.Path, total: int) -> None:
     """Send requests of all kinds under all faults and judge by ledgers.
 
--- a/cumintack/coordination/admission.py
+++ b/cumintack/coordination/admission.py
@@ -31,7 +31,8 @@
 
 SERVICE_TIME_WEIGHT = 0.1
 FIRST_SERVICE_TIME_S = 0.005
-SETTLED_S = 1.0
+SETTLED_S = 0.3
+SETTLED_FACTOR = 2.0
 
 
 class AdmissionSettings(msgspec.Struct, frozen=True):
@@ -493,10 +494,11 @@
         Answers for lost attempts, hand-overs of waiting ones.
     """
     admission.foreign = max(0, busy - admission.busy)
+    settled_s = max(SETTLED_S, SETTLED_FACTOR * admission.service_time_s)
     settled = [
         key
         for key in admission.running
-        if now_s - admission.attempts[key].started_at_s > SETTLED_S
+        if now_s - admission.attempts[key].started_at_s > settled_s
     ]
     recent = admission.busy - len(settled)
     excess = min(len(settled), admission.busy - recent - busy)
--- a/cumintack/coordination/leadership.py
+++ b/cumintack/coordination/leadership.py
@@ -207,15 +207,17 @@
     now_s: float,
 ) -> WorkerOrders:
     orders = []
+    held = set(status.held)
     names = tables.derived.tasks_by_worker.get(status.worker.name, ())
     for task_id in sorted(names):
         task = tables.tasks[task_id]
         key = LeaseKey(task_id, task.attempt)
-        if _may_hold(lead, tables, task, status):
+        if _may_hold(lead, tables, task, status, held):
             if grant(lead.leases, key, now_s):
-                orders.append(_create_order(lead, tables, task))
+                is_held = (task_id, task.attempt) in held
+                orders.append(_create_order(lead, tables, task, is_held))
         elif task.status is TaskStatus.stopping:
-            orders.append(_create_order(lead, tables, task))
+            orders.append(_create_order(lead, tables, task, is_held=False))
     settled = tuple(
         held for held in status.held if _is_settled(tables, LeaseKey(*held))
     )
@@ -233,6 +235,7 @@
     tables: ControlTables,
     task: Task,
     status: WorkerStatus,
+    held: set[tuple[str, int]],
 ) -> bool:
     """Tell whether a worker may go on with an attempt, or start it.
 
@@ -241,7 +244,7 @@
     A task that is not idempotent is offered to one incarnation of a guard
     only, since an earlier one may have started it unseen.
     """
-    if (task.task_id, task.attempt) in status.held:
+    if (task.task_id, task.attempt) in held:
         return True
     if task.status is not TaskStatus.placed:
         return False
@@ -264,9 +267,18 @@
     lead: Leadership,
     tables: ControlTables,
     task: Task,
+    is_held: bool,
 ) -> TaskOrder:
     spec = tables.jobs[task.job_id].spec
     throttled = lead.interference.throttled.get(task.worker, frozenset())
+    if is_held:
+        return TaskOrder(
+            task.task_id,
+            task.attempt,
+            is_stop=task.status is TaskStatus.stopping,
+            is_throttled=spec.kind in throttled,
+            is_recorded=task.status is not TaskStatus.placed,
+        )
     return TaskOrder(
         task.task_id,
         task.attempt,
--- a/cumintack/coordination/replication/_leading.py
+++ b/cumintack/coordination/replication/_leading.py
@@ -1,5 +1,7 @@
 """What a replica does as the leader: append, commit, confirm, step down."""
 
+from collections.abc import Mapping
+
 from cumintack.coordination.replication import _following, _log
 from cumintack.coordination.replication._records import (
     Progress,
@@ -301,6 +303,22 @@
         _send_chunk(replica, message.sender, progress, now_s)
 
 
+def _get_quorum_value(
+    replica: Replica,
+    others: Mapping[str, float],
+    own: float,
+) -> float:
+    """Get the highest value that a quorum of voters has reached."""
+    reached = [
+        own
+        if member.member_id == replica.hard.member_id
+        else others[member.member_id]
+        for member in _log.get_voters(replica)
+    ]
+    reached.sort(reverse=True)
+    return reached[_log.compute_quorum(replica) - 1]
+
+
 def advance_commit(replica: Replica, now_s: float) -> None:
     """Commit what a quorum has synced, if it is of the current term.
 
@@ -308,14 +326,11 @@
         replica: The leader.
         now_s: The time.
     """
-    matches = []
-    for member in _log.get_voters(replica):
-        if member.member_id == replica.hard.member_id:
-            matches.append(replica.synced_index)
-        else:
-            matches.append(replica.progress[member.member_id].match_index)
-    matches.sort(reverse=True)
-    index = matches[_log.compute_quorum(replica) - 1]
+    matches = {
+        member_id: progress.match_index
+        for member_id, progress in replica.progress.items()
+    }
+    index = int(_get_quorum_value(replica, matches, replica.synced_index))
     if index <= replica.commit_index:
         return
     if _log.get_term_at(replica, index) != replica.hard.term:
@@ -374,17 +389,13 @@
         replica: The leader.
         now_s: The time.
     """
-    heard = []
-    for member in _log.get_voters(replica):
-        if member.member_id == replica.hard.member_id:
-            heard.append(now_s)
-        else:
-            heard.append(replica.progress[member.member_id].heard_at_s)
-    heard.sort(reverse=True)
-    quorum = _log.compute_quorum(replica)
+    heard = {
+        member_id: progress.heard_at_s
+        for member_id, progress in replica.progress.items()
+    }
     replica.quorum_heard_at_s = max(
         replica.quorum_heard_at_s,
-        heard[quorum - 1],
+        _get_quorum_value(replica, heard, now_s),
     )
     quiet_s = now_s - replica.quorum_heard_at_s
     if quiet_s >= replica.settings.election_timeout_s:
@@ -399,14 +410,11 @@
     """
     if not replica.reads:
         return
-    rounds = []
-    for member in _log.get_voters(replica):
-        if member.member_id == replica.hard.member_id:
-            rounds.append(replica.round_number)
-        else:
-            rounds.append(replica.progress[member.member_id].acked_round)
-    rounds.sort(reverse=True)
-    confirmed = rounds[_log.compute_quorum(replica) - 1]
+    rounds = {
+        member_id: progress.acked_round
+        for member_id, progress in replica.progress.items()
+    }
+    confirmed = _get_quorum_value(replica, rounds, replica.round_number)
     waiting = []
     for read in replica.reads:
         if read.round_number <= confirmed:
--- a/cumintack/coordination/worker_tasks.py
+++ b/cumintack/coordination/worker_tasks.py
@@ -43,6 +43,7 @@
         is_answered: Whether that heartbeat was answered.
         held: Attempts as the worker last reported them.
         ended: Highest attempt known to have ended, by task.
+        recorded: Attempts whose start the leader has recorded.
         started: Attempts that the worker said it started.
         vanished: Of these, those that it no longer reports.
     """
@@ -52,6 +53,7 @@
     sent_at_s: float = 0
     is_answered: bool = True
     held: dict[tuple[str, int], HeldAttempt] = {}
+    recorded: set[tuple[str, int]] = set()
     started: set[tuple[str, int]] = set()
     vanished: set[tuple[str, int]] = set()
     ended: collections.OrderedDict[str, int] = msgspec.field(
@@ -105,7 +107,7 @@
         state: The guard's memory.
 
     Returns:
-        One report for each attempt held or lost.
+        One report for each attempt whose state the leader may not know.
     """
     reports = [
         TaskReport(
@@ -117,7 +119,7 @@
             attempt.detail,
         )
         for attempt in state.held.values()
-        if attempt.phase in REPORT_KINDS
+        if _is_news(state, attempt)
     ]
     reports.extend(
         TaskReport(*key, ReportKind.vanished, state.worker)
@@ -126,6 +128,12 @@
     return tuple(reports)
 
 
+def _is_news(state: WorkerTasks, attempt: HeldAttempt) -> bool:
+    if attempt.phase != 'running':
+        return attempt.phase in REPORT_KINDS
+    return (attempt.task_id, attempt.attempt) not in state.recorded
+
+
 def list_held(state: WorkerTasks) -> tuple[tuple[str, int], ...]:
     """List the attempts about which the leader should decide.
 
@@ -161,6 +169,11 @@
         return []
     state.term = orders.term
     state.is_answered = True
+    state.recorded = {
+        (order.task_id, order.attempt)
+        for order in orders.orders
+        if order.is_recorded
+    }
     expires_at_s = orders.echoed_sent_at_s + orders.lease_s
     wanted = {(order.task_id, order.attempt): order for order in orders.orders}
     actions: list[WorkerAction] = []
--- a/cumintack/daemon/control_part.py
+++ b/cumintack/daemon/control_part.py
@@ -23,7 +23,6 @@
 from cumintack.coordination.querying import (
     NodeView,
     QuerySources,
-    run_control_query,
 )
 from cumintack.coordination.replication import (
     Replica,
@@ -31,9 +30,13 @@
     Role,
 )
 from cumintack.coordination.scheduling import SchedulerSettings
+from cumintack.daemon.control_queries import (
+    QueryAnswer,
+    QueryDesk,
+    create_refusal,
+)
 from cumintack.daemon.node import Node
 from cumintack.daemon.settings import ControlSettings
-from cumintack.protocol.language import Select, parse_statement
 from cumintack.protocol.messages import (
     ChangeReplica,
     Goodbye,
@@ -95,14 +98,6 @@
     term: int
 
 
-class WaitingQuery(msgspec.Struct, frozen=True):
-    """A query that waits until the leader is confirmed."""
-
-    peer: str
-    call_id: int
-    select: Select
-
-
 class ControlPart:
     """A control replica within a process."""
 
@@ -111,7 +106,6 @@
         '_sequence',
         '_journal',
         '_leader',
-        '_last_read_id',
         '_node',
         '_nodes',
         '_queries',
@@ -120,7 +114,6 @@
         '_tables',
         '_backlog',
         '_waiters',
-        '_is_stopping',
     )
 
     def __init__(
@@ -136,11 +129,9 @@
         self._journal = Journal(pathlib.Path(settings.data_folder))
         self._tables = ControlTables()
         self._nodes: dict[str, NodeView] = {}
-        self._queries: dict[int, WaitingQuery] = {}
+        self._queries = QueryDesk()
         self._waiters: dict[int, Waiter] = {}
         self._backlog = replication.Backlog()
-        self._last_read_id = 0
-        self._is_stopping = False
         self._replica = self._recover(is_bootstrap=is_bootstrap)
         self._leading = LeadershipSettings(
             LeaseSettings(
@@ -318,42 +309,20 @@
         message: QueryRequest,
         now_s: float,
     ) -> None:
-        statement = parse_statement(message.text)
-        match statement:
-            case Ok(Select() as select):
-                self._last_read_id += 1
-                error = replication.request_read(
-                    self._replica,
-                    self._last_read_id,
-                    now_s,
-                )
-                if error is None:
-                    self._queries[self._last_read_id] = WaitingQuery(
-                        sender,
-                        message.call_id,
-                        select,
-                    )
-                    return
-            case Err(problem):
-                error = problem
-            case _:
-                error = StepError(
-                    ErrorCode.invalid,
-                    'query',
-                    sender,
-                    'only select is a query',
-                )
-        self._answer_query(sender, message.call_id, error)
+        error = self._queries.ask(sender, message, self._replica, now_s)
+        if error is not None:
+            self._answer_query(create_refusal(sender, message.call_id, error))
 
-    def _answer_query(
-        self,
-        peer: str,
-        call_id: int,
-        error: StepError | None,
-        rows: bytes = b'',
-    ) -> None:
-        reply = QueryReply(call_id, rows, error, self._get_leader_name())
-        self._node.send(peer, reply)
+    def _answer_query(self, answer: QueryAnswer) -> None:
+        self._node.send(
+            answer.peer,
+            QueryReply(
+                answer.call_id,
+                answer.rows,
+                answer.error,
+                self._get_leader_name(),
+            ),
+        )
 
     def _handle_change(
         self,
@@ -406,8 +375,7 @@
         if work.installed is not None:
             self._install(work.installed)
         self._apply(work.committed)
-        self._answer_reads(work.reads)
-        self._fail_reads(work.failed_reads)
+        self._answer_reads(work)
         self._compact()
 
     def _install(self, snapshot: Snapshot) -> None:
@@ -461,34 +429,18 @@
             'leadership was lost',
         )
 
-    def _answer_reads(self, read_ids: list[int]) -> None:
-        for read_id in read_ids:
-            query = self._queries.pop(read_id)
-            sources = QuerySources(
-                self._tables,
-                self._replica,
-                self._nodes,
-                self._node.clock.now_s(),
-            )
-            match run_control_query(query.select, sources):
-                case Ok(rows):
-                    encoded = msgspec.json.encode(rows)
-                    self._answer_query(
-                        query.peer,
-                        query.call_id,
-                        None,
-                        encoded,
-                    )
-                case Err(error):
-                    self._answer_query(query.peer, query.call_id, error)
-
-    def _fail_reads(self, read_ids: list[int]) -> None:
-        for read_id in read_ids:
-            query = self._queries.pop(read_id)
+    def _answer_reads(self, work: replication.Work) -> None:
+        sources = QuerySources(
+            self._tables,
+            self._replica,
+            self._nodes,
+            self._node.clock.now_s(),
+        )
+        for read_id in work.reads:
+            self._answer_query(self._queries.answer(read_id, sources))
+        for failed_id in work.failed_reads:
             self._answer_query(
-                query.peer,
-                query.call_id,
-                self._create_lost(),
+                self._queries.fail(failed_id, self._create_lost()),
             )
 
     def _compact(self) -> None:
@@ -538,8 +490,7 @@
         """Do nothing: the replicated state is where it comes from."""
 
     def begin_stop(self) -> None:
-        """Hand leadership over by silence; nothing is cut off."""
-        self._is_stopping = True
+        """Do nothing: a leader's silence hands leadership over."""
 
     def is_idle(self) -> bool:
         """Return whether no command waits for its outcome."""
--- /dev/null
+++ b/cumintack/daemon/control_queries.py
@@ -0,0 +1,99 @@
+"""Queries that wait at a control replica until the leader is confirmed."""
+
+import msgspec
+from result import Err, Ok
+
+from cumintack.coordination import replication
+from cumintack.coordination.querying import QuerySources, run_control_query
+from cumintack.coordination.replication import Replica
+from cumintack.protocol.language import Select, parse_statement
+from cumintack.protocol.messages import QueryRequest
+from cumintack.state.errors import ErrorCode, StepError
+
+
+class WaitingQuery(msgspec.Struct, frozen=True):
+    """A query that waits."""
+
+    peer: str
+    call_id: int
+    select: Select
+
+
+class QueryAnswer(msgspec.Struct, frozen=True):
+    """The answer to a query: rows as JSON, or an error."""
+
+    peer: str
+    call_id: int
+    rows: bytes = b''
+    error: StepError | None = None
+
+
+def create_refusal(peer: str, call_id: int, error: StepError) -> QueryAnswer:
+    """Create the answer for a query that can't be run.
+
+    Args:
+        peer: Who asked.
+        call_id: Number of the call.
+        error: Why.
+
+    Returns:
+        The answer.
+    """
+    return QueryAnswer(peer, call_id, error=error)
+
+
+class QueryDesk:
+    """The queries that wait, by the number of their read."""
+
+    __slots__ = ('_last_read_id', '_waiting')
+
+    def __init__(self) -> None:
+        """Start with none."""
+        self._last_read_id = 0
+        self._waiting: dict[int, WaitingQuery] = {}
+
+    def ask(
+        self,
+        peer: str,
+        message: QueryRequest,
+        replica: Replica,
+        now_s: float,
+    ) -> StepError | None:
+        """Let a query wait for its read; an error means that it does not."""
+        match parse_statement(message.text):
+            case Err(problem):
+                return problem
+            case Ok(Select() as select):
+                pass
+            case _:
+                return StepError(
+                    ErrorCode.invalid,
+                    'query',
+                    peer,
+                    'only select is a query',
+                )
+        self._last_read_id += 1
+        read_id = self._last_read_id
+        error = replication.request_read(replica, read_id, now_s)
+        if error is None:
+            self._waiting[read_id] = WaitingQuery(
+                peer,
+                message.call_id,
+                select,
+            )
+        return error
+
+    def answer(self, read_id: int, sources: QuerySources) -> QueryAnswer:
+        """Answer a query from the applied state."""
+        query = self._waiting.pop(read_id)
+        match run_control_query(query.select, sources):
+            case Ok(rows):
+                encoded = msgspec.json.encode(rows)
+                return QueryAnswer(query.peer, query.call_id, encoded)
+            case Err(error):
+                return create_refusal(query.peer, query.call_id, error)
+
+    def fail(self, read_id: int, error: StepError) -> QueryAnswer:
+        """Answer a query whose read was not confirmed."""
+        query = self._waiting.pop(read_id)
+        return create_refusal(query.peer, query.call_id, error)
--- a/cumintack/daemon/entry_part.py
+++ b/cumintack/daemon/entry_part.py
@@ -58,6 +58,8 @@
 SETTLE_TIMEOUT_S = 30.0
 EXTRA_WAIT_S = 2.0
 SEED_BITS = 64
+RETRY_AFTER_S = 1.0
+STOPPING = 'the entry is stopping'
 TICK_INTERVAL_S = 0.005
 FIRST_RETRY_TOKENS = 10.0
 
@@ -70,10 +72,8 @@
 
     __slots__ = (
         '_admin',
-        '_claims_open',
         '_is_stopping',
         '_node',
-        '_numbers',
         '_sequence',
         '_server',
         '_settings',
@@ -88,9 +88,7 @@
         self._settings = settings
         self._is_stopping = False
         self._sequence = 0
-        self._numbers = 0
         self._tick_at_s = 0.0
-        self._claims_open: set[str] = set()
         self._waiting: dict[str, ReplyQueue] = {}
         self.state = EntryState(
             node.settings.name,
@@ -126,6 +124,8 @@
         )
         if isinstance(read, str):
             return create_error_response(HTTPStatus.BAD_REQUEST, read)
+        if self._is_stopping:
+            return self._respond(read, _refuse_early(read, STOPPING))
         return self._wait_for(read)
 
     def _wait_for(self, request: Request) -> HttpResponse:
@@ -142,6 +142,9 @@
             )
         took_s = self._node.clock.now_s() - started_at_s
         self._node.metrics.time(f'entry.{reply.kind.value}', took_s)
+        return self._respond(request, reply)
+
+    def _respond(self, request: Request, reply: Reply) -> HttpResponse:
         return create_response(
             CallerOutcome(
                 request.request_id,
@@ -157,18 +160,11 @@
     def _take_request(self, request: Request, replies: ReplyQueue) -> None:
         reason = ''
         if self._is_stopping:
-            reason = 'the entry is stopping'
+            reason = STOPPING
         elif not self._node.is_current:
             reason = 'the configuration in force is not known yet'
         if reason:
-            replies.put(
-                Reply(
-                    request.request_id,
-                    OutcomeKind.not_run,
-                    reason,
-                    retry_after_s=1,
-                ),
-            )
+            replies.put(_refuse_early(request, reason))
             return
         self._waiting[request.request_id] = replies
         self._run(
@@ -194,10 +190,8 @@
                     self._node.note(effect)
 
     def _propose(self, effect: ProposeOperation) -> None:
-        request_id = effect.request_id
         match effect.operation:
             case ClaimRequest():
-                self._claims_open.add(request_id)
                 self._call(
                     effect.operation,
                     CLAIM_GIVE_UP_S,
@@ -242,7 +236,6 @@
         a caller who sends the request again is not told that it is under way.
         """
         request_id = effect.request_id
-        self._claims_open.discard(request_id)
         outcome: Outcome | None = None
         if isinstance(reply, Proposed):
             outcome = reply.outcome
@@ -332,6 +325,15 @@
         self._server.stop()
 
 
+def _refuse_early(request: Request, reason: str) -> Reply:
+    return Reply(
+        request.request_id,
+        OutcomeKind.not_run,
+        reason,
+        retry_after_s=RETRY_AFTER_S,
+    )
+
+
 def _get_status(reply: Reply) -> int:
     if reply.kind is OutcomeKind.completed:
         return reply.status
--- a/cumintack/daemon/guard_part.py
+++ b/cumintack/daemon/guard_part.py
@@ -40,7 +40,11 @@
     WorkerOrders,
     WorkerStatus,
 )
-from cumintack.protocol.worker_actions import StartAttempt, WorkerAction
+from cumintack.protocol.worker_actions import (
+    RenewAttempts,
+    StartAttempt,
+    WorkerAction,
+)
 from cumintack.state.configuration import Configuration
 from cumintack.state.errors import StepError, render_error
 from cumintack.state.requests import (
@@ -69,6 +73,7 @@
 ANNOUNCE_THREADS = 4
 MAX_ANNOUNCEMENT_BYTES = 4096
 TICK_INTERVAL_S = 0.005
+HEARTBEAT_SLACK_S = 0.1
 
 logger = structlog.get_logger()
 
@@ -80,6 +85,7 @@
         '_admission',
         '_announced_until_s',
         '_edge',
+        '_heartbeat_at_s',
         '_meter',
         '_node',
         '_platform',
@@ -113,6 +119,7 @@
         self._status_at_s = 0.0
         self._tick_at_s = 0.0
         self._report_at_s = 0.0
+        self._heartbeat_at_s = 0.0
         self._is_reporting = False
         self._worker_report: WorkerReport | None = None
         self._platform: PlatformEdge | None = None
@@ -220,6 +227,7 @@
                     self._platform_thread.submit(self._perform, actions)
             case Poke():
                 self._report_at_s = 0.0
+                self._heartbeat_at_s = 0.0
             case Goodbye():
                 return False
             case _:
@@ -357,8 +365,12 @@
 
     def _send_worker_status(self, report: WorkerReport, now_s: float) -> None:
         leader = self._node.calls.leader
-        if not leader:
+        reports = create_reports(self._tasks)
+        is_due = now_s >= self._heartbeat_at_s
+        if not leader or not (reports or is_due):
             return
+        heartbeat_s = self._settings.heartbeat_interval_ms / 1000
+        self._heartbeat_at_s = now_s + heartbeat_s - HEARTBEAT_SLACK_S
         self._tasks.sent_at_s = now_s
         self._tasks.is_answered = False
         self._node.send(
@@ -367,7 +379,7 @@
                 self._describe_worker(report.worker),
                 self._node.incarnation,
                 now_s,
-                create_reports(self._tasks),
+                reports,
                 list_held(self._tasks),
                 report.used,
                 compute_slowdown(self._meter, now_s),
@@ -398,7 +410,8 @@
                 )
             elif isinstance(action, StartAttempt):
                 self._node.post(self._create_started(action))
-        self._node.post(self._hurry_report)
+        if not all(isinstance(one, RenewAttempts) for one in actions):
+            self._node.post(self._hurry_report)
 
     def _create_started(self, action: StartAttempt) -> Callable[[], None]:
         key = (action.order.task_id, action.order.attempt)
--- a/cumintack/daemon/node.py
+++ b/cumintack/daemon/node.py
@@ -53,12 +53,13 @@
 from cumintack.transport.links import LinkCounters, Links
 from cumintack.transport.metrics import Metrics
 
-LOOP_WAIT_S = 0.01
+LOOP_WAIT_S = 0.02
 STATUS_INTERVAL_S = 0.5
 FLUSH_INTERVAL_S = 1.0
 GOODBYE_LINGER_S = 0.5
 MAX_LOCAL_MESSAGES = 256
 WAKE_BYTES = 4096
+IDLE_BEFORE_STOP_S = 0.2
 CURRENT_WITHOUT_LEADER_S = 3.0
 
 CallReply = Proposed | QueryReply
@@ -93,6 +94,7 @@
 
     __slots__ = (
         '_handlers',
+        '_idle_at_s',
         '_is_stopping',
         '_is_waiting',
         '_started_at_s',
@@ -166,6 +168,7 @@
         self.is_current = False
         self.known_revision = 0
         self._stop_deadline_s = 0.0
+        self._idle_at_s = 0.0
         self._status_at_s = 0.0
         self._flush_at_s = 0.0
         self._sent_counts: dict[str, int] = {}
@@ -245,7 +248,9 @@
         logger.info('node: stopping')
         self._is_stopping = True
         timeout_s = self.settings.drain_timeout_ms / 1000
-        self._stop_deadline_s = self.clock.now_s() + timeout_s
+        now_s = self.clock.now_s()
+        self._stop_deadline_s = now_s + timeout_s
+        self._idle_at_s = now_s + IDLE_BEFORE_STOP_S
         for part in self.parts:
             part.begin_stop()
 
@@ -269,7 +274,13 @@
         if self.clock.now_s() >= self._stop_deadline_s:
             logger.error('node: stopped with work in flight')
             return True
-        return not self._posted and all(part.is_idle() for part in self.parts)
+        is_idle = not self._posted and all(
+            part.is_idle() for part in self.parts
+        )
+        now_s = self.clock.now_s()
+        if not is_idle:
+            self._idle_at_s = now_s + IDLE_BEFORE_STOP_S
+        return is_idle and now_s >= self._idle_at_s
 
     def _run_once(self) -> None:
         self._is_waiting = True
--- a/cumintack/daemon/settings.py
+++ b/cumintack/daemon/settings.py
@@ -86,7 +86,9 @@
         patience_ms: How long past its deadline an attempt keeps its slot.
         max_answer_bytes: Largest answer of the upstream.
         announcement_ms: How long an announcement holds without a repeat.
-        report_interval_ms: Interval of the worker heartbeats.
+        report_interval_ms: Interval of the reports that the agent is asked.
+        heartbeat_interval_ms: Longest time between two heartbeats to the
+            leader; news are sent with the next report.
     """
 
     worker: str
@@ -99,6 +101,7 @@
     max_answer_bytes: int = 8388608
     announcement_ms: int = 3000
     report_interval_ms: int = 500
+    heartbeat_interval_ms: int = 1000
 
 
 class TokenSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/cumintack/demo/__main__.py
+++ b/cumintack/demo/__main__.py
@@ -8,6 +8,7 @@
 import tempfile
 import threading
 import time
+from http import HTTPStatus
 
 import click
 import msgspec
@@ -38,6 +39,7 @@
 NAME = 'demo-1'
 DATA_CENTRE = 'north-yard'
 SERVICE = 'rounds-desk'
+HEALTH_PATH = '/admin/v1/health'
 QUOTE_COUNT = 200
 TASK_COUNT = 6
 SLOTS = 8
@@ -131,6 +133,17 @@
             case Err(_):
                 return None
 
+    def wait_ready(self) -> bool:
+        """Wait until the entry knows the configuration in force."""
+        client = HttpClient(self.entry_address, 1, MAX_ANSWER_BYTES)
+        deadline_s = time.monotonic() + WAIT_S
+        while time.monotonic() < deadline_s:
+            sent = client.send('GET', HEALTH_PATH, {}, b'', TIMEOUT_S)
+            if isinstance(sent, Ok) and sent.ok_value.status == HTTPStatus.OK:
+                return True
+            time.sleep(POLL_S)
+        return False
+
     def wait_for(self, text: str) -> Rows | None:
         """Repeat a query until it has rows."""
         deadline_s = time.monotonic() + WAIT_S
@@ -159,6 +172,7 @@
     open_rows = demo.wait_for('select * from upstreams where is_open = true')
     worker_rows = demo.wait_for('select * from workers')
     checks = [
+        Check('entry ready', 'yes', demo.wait_ready()),
         Check('upstream announced itself', SERVICE, open_rows is not None),
         Check('worker registered', NAME, worker_rows is not None),
     ]
--- a/cumintack/demo/sample_upstream.py
+++ b/cumintack/demo/sample_upstream.py
@@ -146,6 +146,10 @@
         doubled = sum(1 for count in runs.values() if count > 1)
         return Ledger(sum(runs.values()), doubled, most_at_once, runs)
 
+    def change_behaviour(self, behaviour: Behaviour) -> None:
+        """Change how it behaves from the next request on."""
+        self._behaviour = behaviour
+
     def stop(self) -> None:
         """Say goodbye to the guard and stop."""
         self._stopped.set()
--- a/cumintack/protocol/messages.py
+++ b/cumintack/protocol/messages.py
@@ -28,7 +28,7 @@
     Dispatch,
     Withdrawal,
 )
-from cumintack.state.resources import Resources
+from cumintack.state.resources import ZERO_RESOURCES, Resources
 from cumintack.state.workers import WorkerSpec
 
 
@@ -179,9 +179,11 @@
     is_reachable: bool
 
 
-class TaskOrder(msgspec.Struct, frozen=True):
+class TaskOrder(msgspec.Struct, frozen=True, omit_defaults=True):
     """What the leader wants of one attempt.
 
+    An attempt that the worker holds already needs no more than its key.
+
     Attributes:
         task_id: The task.
         attempt: Its fencing number.
@@ -191,16 +193,18 @@
         checkpoint: Where to resume, empty for the start.
         is_stop: Whether to checkpoint and stop it.
         is_throttled: Whether to slow it down.
+        is_recorded: Whether its start is recorded already.
     """
 
     task_id: str
     attempt: int
-    need: Resources
-    kind: str
-    payload: str
-    checkpoint: str
+    need: Resources = ZERO_RESOURCES
+    kind: str = ''
+    payload: str = ''
+    checkpoint: str = ''
     is_stop: bool = False
     is_throttled: bool = False
+    is_recorded: bool = False
 
 
 class WorkerOrders(msgspec.Struct, frozen=True, tag=True):
--- a/cumintack/state/configuration.py
+++ b/cumintack/state/configuration.py
@@ -5,6 +5,7 @@
 the log entry that made the last change, so that it can never go back.
 """
 
+import functools
 import re
 
 import msgspec
@@ -15,6 +16,7 @@
 STEP = 'config.set'
 MAX_SETTING_TEXT = 4096
 MAX_HISTORY = 2000
+MAX_CACHED_KEYS = 8192
 MAX_MS = 600000
 MAX_COUNT = 1000000
 MAX_NUMBER = 1e15
@@ -136,6 +138,7 @@
     items: dict[str, ConfigurationItem] = {}
 
 
+@functools.lru_cache(maxsize=MAX_CACHED_KEYS)
 def get_rule(key: str) -> KeyRule | None:
     """Get the rule for a key.
 
--- a/cumintack/state/jobs.py
+++ b/cumintack/state/jobs.py
@@ -174,7 +174,7 @@
     evicted_count: int = 0
 
 
-class TaskReport(msgspec.Struct, frozen=True):
+class TaskReport(msgspec.Struct, frozen=True, omit_defaults=True):
     """A report about one attempt of a task."""
 
     task_id: str
--- a/cumintack/state/resources.py
+++ b/cumintack/state/resources.py
@@ -6,8 +6,6 @@
 
 import msgspec
 
-MILLI_PER_CORE = 1000
-
 
 class Resources(msgspec.Struct, frozen=True, order=True):
     """An amount in every dimension in which a worker can be full."""
@@ -54,23 +52,6 @@
     )
 
 
-def compute_product(amount: Resources, factor: int) -> Resources:
-    """Multiply an amount.
-
-    Args:
-        amount: The amount of one task.
-        factor: The number of tasks.
-
-    Returns:
-        The amount of all the tasks.
-    """
-    return Resources(
-        amount.cores_milli * factor,
-        amount.memory_mb * factor,
-        amount.accelerators * factor,
-    )
-
-
 def is_within(amount: Resources, limit: Resources) -> bool:
     """Tell whether an amount fits under a limit in every dimension.
 
--- a/cumintack/transport/http_client.py
+++ b/cumintack/transport/http_client.py
@@ -12,7 +12,6 @@
 from cumintack.state.errors import ErrorCode, StepError
 from cumintack.state.requests import Header
 
-READ_CHUNK_BYTES = 65536
 BODYLESS_STATUSES = frozenset((204, 304))
 CONNECT_TIMEOUT_S = 1.0
 HOP_HEADERS = frozenset(
--- a/cumintack/transport/links.py
+++ b/cumintack/transport/links.py
@@ -32,8 +32,8 @@
 from cumintack.transport.clock import Clock, get_wall_ms
 from cumintack.transport.keys import LinkKeys, secure_client, secure_server
 
-PING_INTERVAL_S = 0.25
-SILENT_AFTER_S = 1.0
+PING_INTERVAL_S = 0.2
+SILENT_AFTER_S = 0.8
 HIGH_WATER_MARK = 20000
 MAX_RECEIVED_PER_POLL = 512
 MAX_ROUTES = 20000
--- a/cumintack/transport/metrics.py
+++ b/cumintack/transport/metrics.py
@@ -36,10 +36,6 @@
         if self._client is not None:
             self._timers.setdefault(name, []).append(duration_s)
 
-    def list_counts(self) -> dict[str, int]:
-        """Return all counters since the start of the process."""
-        return dict(self._counts)
-
     def flush(self, sent_counts: dict[str, int]) -> None:
         """Send what changed; ``sent_counts`` keeps what was sent before."""
         if self._client is None:
