--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -18,6 +18,7 @@
     scenario_path,
     scenario_scheduler,
     scenario_service,
+    scenario_timeline,
 )
 from cumintack.daemon.logs import configure_logs
 
@@ -180,5 +181,11 @@
     )
 
 
+@main.command('timeline')
+def timeline_command() -> None:
+    """Kill a guard and a replica under load, then show the time line."""
+    _run_in_folder(scenario_timeline.run)
+
+
 if __name__ == '__main__':
     main()
--- a/bench/deployments.py
+++ b/bench/deployments.py
@@ -320,10 +320,10 @@
         raise RuntimeError(f'{text}: {found}')
 
     def command(self, text: str) -> str:
-        """Run a command that must succeed; returns the first name."""
+        """Run a command that must succeed; returns the first name, if any."""
         found = self.api.execute(text)
         if isinstance(found, Ok) and not isinstance(found.ok_value, Rows):
-            return found.ok_value.names[0]
+            return next(iter(found.ok_value.names), '')
         raise RuntimeError(f'{text}: {found}')
 
     def set_behaviour(self, worker: Address, behaviour: Behaviour) -> None:
--- /dev/null
+++ b/bench/scenario_timeline.py
@@ -0,0 +1,65 @@
+"""The time line of requests that met a fault, from one command."""
+
+import pathlib
+import threading
+
+import msgspec
+from result import Ok
+
+from bench.deployments import GUILD, SERVICE, Deployment
+from bench.load import LoadPlan
+from bench.running import LoadRun, create_plans, print_line
+from cumintack.cli.rendering import render_timeline
+from cumintack.coordination.timeline import Timeline
+
+RATE_PER_S = 60.0
+SECONDS = 5.0
+SHOWN_REASONS = ('entry.unknown', 'entry.hedged', 'entry.not-run')
+MAX_EVENTS = 5000
+
+
+def run(folder: pathlib.Path) -> None:
+    """Kill a guard and a replica under load, then ask why.
+
+    Args:
+        folder: Where logs go.
+    """
+    shape = msgspec.structs.replace(GUILD, workers=4, work_ms=100.0)
+    deployment = Deployment(shape, folder)
+    deployment.start()
+    guard = deployment.processes[deployment.workers[0].name]
+    replica = deployment.processes[deployment.controls[0].name]
+    threading.Timer(SECONDS / 2, guard.kill).start()
+    threading.Timer(SECONDS / 2, replica.kill).start()
+    plan = LoadPlan(
+        tuple(entry.http for entry in deployment.entries),
+        f'/services/{SERVICE}/quotes',
+        RATE_PER_S,
+        SECONDS,
+        32,
+        1500,
+        '',
+        bare_share=0.5,
+    )
+    try:
+        LoadRun(create_plans(plan, 1, folder), folder).wait(SECONDS + 30)
+        whole = _fetch(deployment, '')
+        for reason in SHOWN_REASONS:
+            _show(deployment, whole, reason)
+    finally:
+        deployment.stop()
+
+
+def _fetch(deployment: Deployment, subject: str) -> Timeline:
+    fetched = deployment.api.fetch_timeline(subject, MAX_EVENTS)
+    if isinstance(fetched, Ok):
+        return fetched.ok_value
+    raise RuntimeError(str(fetched))
+
+
+def _show(deployment: Deployment, whole: Timeline, reason: str) -> None:
+    subjects = [event.subject for event in whole.events if event.name == reason]
+    print_line(f'\n{reason}: {len(subjects)} requests')
+    if subjects:
+        found = _fetch(deployment, subjects[0])
+        print_line(render_timeline(found, 'table'))
--- a/bench/writers.py
+++ b/bench/writers.py
@@ -86,7 +86,10 @@
         self.writers = [Writer(number) for number in range(count)]
         self.done_at_s: list[float] = []
         self.latencies_us: list[int] = []
-        self._thread = threading.Thread(target=self._node.run)
+        self._thread = threading.Thread(
+            target=self._node.run,
+            daemon=True,
+        )
 
     def start(self) -> None:
         """Start to write."""
--- a/cumintack/coordination/entry_state.py
+++ b/cumintack/coordination/entry_state.py
@@ -102,6 +102,8 @@
         configuration: The configuration in force.
         guards: Guards by worker.
         by_service: The same by service.
+        known: Guards that were ever heard and have not said goodbye; one
+            that died is missing from a time line, not forgotten by it.
         pending: Requests without an outcome.
         due: When to look at requests, as a heap.
         in_flight: Requests in flight by service.
@@ -119,6 +121,7 @@
     configuration: Configuration = msgspec.field(default_factory=Configuration)
     guards: dict[str, GuardView] = {}
     by_service: dict[str, list[GuardView]] = {}
+    known: set[str] = set()
     pending: dict[str, PendingRequest] = {}
     due: list[Due] = []
     in_flight: dict[str, int] = {}
--- a/cumintack/coordination/routing.py
+++ b/cumintack/coordination/routing.py
@@ -226,6 +226,7 @@
     guard = state.guards.get(status.worker)
     effects: list[Effect] = []
     if guard is None:
+        state.known.add(status.worker)
         state.guards[status.worker] = guards.GuardView(status, now_s)
         steps.index_guards(state)
         return [Note('entry.guard_joined', status.worker, status.service)]
--- a/cumintack/daemon/entry_part.py
+++ b/cumintack/daemon/entry_part.py
@@ -276,6 +276,7 @@
                 revision = self._node.configuration.revision
                 self._node.send(sender, EntryStatus(revision))
             case Goodbye():
+                self.state.known.discard(message.name)
                 self._run(
                     routing.handle_guard_gone(
                         self.state,
--- a/cumintack/daemon/node.py
+++ b/cumintack/daemon/node.py
@@ -53,7 +53,8 @@
 from cumintack.transport.links import LinkCounters, Links
 from cumintack.transport.metrics import Metrics
 
-LOOP_WAIT_S = 0.02
+LOOP_WAIT_S = 0.01
+IDLE_WAIT_S = 0.05
 STATUS_INTERVAL_S = 0.5
 FLUSH_INTERVAL_S = 1.0
 GOODBYE_LINGER_S = 0.5
@@ -284,9 +285,7 @@
 
     def _run_once(self) -> None:
         self._is_waiting = True
-        has_work = self._posted or self._local
-        wait_s = 0 if has_work else LOOP_WAIT_S
-        is_woken = self.links.receive(wait_s, self._receive)
+        is_woken = self.links.receive(self._get_wait_s(), self._receive)
         self._is_waiting = False
         if is_woken:
             with contextlib.suppress(BlockingIOError):
@@ -301,6 +300,16 @@
         for _ in range(min(len(self._local), MAX_LOCAL_MESSAGES)):
             self._handle(self.settings.name, self._local.popleft())
 
+    def _get_wait_s(self) -> float:
+        """Return how long the loop may sleep; anything that arrives wakes it.
+
+        Only deadlines of work in flight need more than a slow pace.
+        """
+        if self._posted or self._local:
+            return 0
+        is_idle = all(part.is_idle() for part in self.parts)
+        return IDLE_WAIT_S if is_idle else LOOP_WAIT_S
+
     def _receive(self, envelope: Envelope) -> None:
         self._handle(envelope.sender, envelope.message)
 
--- a/cumintack/transport/links.py
+++ b/cumintack/transport/links.py
@@ -32,7 +32,7 @@
 from cumintack.transport.clock import Clock, get_wall_ms
 from cumintack.transport.keys import LinkKeys, secure_client, secure_server
 
-PING_INTERVAL_S = 0.2
+PING_INTERVAL_S = 0.3
 SILENT_AFTER_S = 0.8
 HIGH_WATER_MARK = 20000
 MAX_RECEIVED_PER_POLL = 512
@@ -320,12 +320,14 @@
         return None
 
     def probe(self) -> None:
-        """Send due probes and dial silent links afresh."""
+        """Probe links that said nothing lately, dial silent ones afresh."""
         now_s = self._clock.now_s()
         for link in list(self._dialled.values()):
             if now_s - link.heard_at_s > SILENT_AFTER_S:
                 self._redial(link)
-            elif now_s - link.pinged_at_s >= PING_INTERVAL_S:
+            elif now_s - max(link.pinged_at_s, link.heard_at_s) >= (
+                PING_INTERVAL_S
+            ):
                 link.pinged_at_s = now_s
                 self.send(link.peer, Ping(0))
 
