Kept workers are given back; decisions do not depend on the order of sets

The failure came back with some hash seeds only: changed tasks stood in sets, so that the same history gave other placements in another process. Change: a worker is kept for 60 s at most, for jobs that wait, and never where the task has failed; derived tables keep names in insertion order. Conclusion: one history, one decision.

--- a/cumintack/coordination/_placement_index.py
+++ b/cumintack/coordination/_placement_index.py
@@ -39,10 +39,13 @@
         max_placements: Placements in one pass.
         keep_after_s: Age from which a job that fits nowhere gets a worker
             kept free for it.
+        keep_for_s: How long it is kept; a job that could not use it by then
+            must not starve the others.
     """
 
     max_placements: int = 512
     keep_after_s: float = 30.0
+    keep_for_s: float = 60.0
 
 
 class Shape(msgspec.Struct, frozen=True):
@@ -67,10 +70,11 @@
 
 
 class Kept(msgspec.Struct, frozen=True):
-    """A worker kept free for a job."""
+    """A worker kept free for a job, for a while."""
 
     worker: str
     job_id: str
+    until_s: float
 
 
 class Scheduler(msgspec.Struct):
@@ -121,8 +125,8 @@
     Returns:
         An index with nothing proposed.
     """
-    tables.derived.changed_tasks.update(tables.tasks)
-    tables.derived.changed_workers.update(tables.workers)
+    tables.derived.changed_tasks.update(dict.fromkeys(tables.tasks))
+    tables.derived.changed_workers.update(dict.fromkeys(tables.workers))
     scheduler = Scheduler(settings)
     follow_changes(scheduler, tables)
     return scheduler
@@ -138,10 +142,11 @@
     derived = tables.derived
     tasks = derived.changed_tasks
     workers = derived.changed_workers
-    derived.changed_tasks = set()
-    derived.changed_workers = set()
+    derived.changed_tasks = {}
+    derived.changed_workers = {}
     for task_id in tasks:
-        workers.update(_follow_task(scheduler, tables, task_id))
+        touched = _follow_task(scheduler, tables, task_id)
+        workers.update(dict.fromkeys(touched))
     for name in workers:
         follow_worker(scheduler, tables, name)
 
--- a/cumintack/coordination/_preemption.py
+++ b/cumintack/coordination/_preemption.py
@@ -28,11 +28,12 @@
 def help_blocked(
     scheduler: Scheduler,
     tables: ControlTables,
-    job: Job,
+    waiting: Task,
     shape: Shape,
     decisions: Decisions,
     now_s: float,
 ) -> None:
+    job = tables.jobs[waiting.job_id]
     if any(kept.job_id == job.job_id for kept in scheduler.kept.values()):
         return
     is_urgent = job.spec.priority is Priority.urgent
@@ -40,10 +41,14 @@
     is_old = now_s - blocked_at_s >= scheduler.settings.keep_after_s
     if not (is_urgent or is_old):
         return
-    victims = _find_victims(scheduler, tables, job, shape)
+    victims = _find_victims(scheduler, tables, waiting, shape)
     if victims is None:
         return
-    scheduler.kept[victims.worker] = Kept(victims.worker, job.job_id)
+    scheduler.kept[victims.worker] = Kept(
+        victims.worker,
+        job.job_id,
+        now_s + scheduler.settings.keep_for_s,
+    )
     if is_urgent:
         for task in victims.tasks:
             stop_task(
@@ -61,10 +66,15 @@
 def _find_victims(
     scheduler: Scheduler,
     tables: ControlTables,
-    job: Job,
+    waiting: Task,
     shape: Shape,
 ) -> Victims | None:
-    names = _list_possible(scheduler, tables, shape)
+    job = tables.jobs[waiting.job_id]
+    names = [
+        name
+        for name in _list_possible(scheduler, tables, shape)
+        if name not in waiting.failed_on
+    ]
     choices = [_choose_victims(scheduler, tables, job, name) for name in names]
     found = [choice for choice in choices if choice is not None]
     return min(found, key=_count_victims, default=None)
--- a/cumintack/coordination/fake_workers_test.py
+++ b/cumintack/coordination/fake_workers_test.py
@@ -188,7 +188,9 @@
     def _create_lead(self) -> Leadership:
         self.term += 1
         return create_leadership(
-            LeadershipSettings(LEASE, SchedulerSettings(keep_after_s=5.0)),
+            LeadershipSettings(
+                LEASE, SchedulerSettings(keep_after_s=5.0, keep_for_s=10.0)
+            ),
             self.tables,
             self.term,
             self.now_s,
--- a/cumintack/coordination/leadership.py
+++ b/cumintack/coordination/leadership.py
@@ -310,7 +310,7 @@
     if reaction.avoided:
         lead.scheduler.avoided[name] = reaction.avoided
     elif lead.scheduler.avoided.pop(name, None):
-        tables.derived.changed_workers.add(name)
+        tables.derived.changed_workers[name] = None
         lead.scheduler.blocked.clear()
     return _evict_for(tables, running, reaction.evicted_kind)
 
--- a/cumintack/coordination/scheduling.py
+++ b/cumintack/coordination/scheduling.py
@@ -66,12 +66,27 @@
     """
     follow_changes(scheduler, tables)
     decisions = Decisions()
+    _release_kept(scheduler, now_s)
     _stop_drained(scheduler, tables, decisions)
     for rank in sorted(set(PRIORITY_RANKS.values())):
         _place_rank(scheduler, tables, rank, decisions, now_s)
     return decisions
 
 
+def _release_kept(scheduler: Scheduler, now_s: float) -> None:
+    if not scheduler.kept:
+        return
+    waiting = {job_id for jobs in scheduler.queues.values() for job_id in jobs}
+    released = [
+        kept
+        for kept in scheduler.kept.values()
+        if kept.until_s <= now_s or kept.job_id not in waiting
+    ]
+    for kept in released:
+        scheduler.kept.pop(kept.worker)
+        scheduler.blocked.clear()
+
+
 def _stop_drained(
     scheduler: Scheduler,
     tables: ControlTables,
@@ -160,15 +175,15 @@
     if not is_within(compute_sum(used, spec.need), quota):
         return False
     shape = Shape(spec.need, spec.data_centres)
+    task = tables.tasks[next(iter(waiting))]
     if shape in scheduler.blocked:
-        help_blocked(scheduler, tables, job, shape, decisions, now_s)
+        help_blocked(scheduler, tables, task, shape, decisions, now_s)
         return False
-    task = tables.tasks[next(iter(waiting))]
     name = _find_worker(scheduler, tables, job, task, shape)
     if name is None:
         if not task.failed_on and not spec.spread_racks:
             scheduler.blocked[shape] = now_s
-        help_blocked(scheduler, tables, job, shape, decisions, now_s)
+        help_blocked(scheduler, tables, task, shape, decisions, now_s)
         return False
     placement = Placement(task.task_id, task.attempt + 1, name)
     waiting.pop(task.task_id)
--- /dev/null
+++ b/cumintack/coordination/scheduling_test.py
@@ -0,0 +1,105 @@
+"""Placement: kept workers are given back, and the order is always the same."""
+
+from cumintack.coordination._placement_index import Kept
+from cumintack.coordination.scheduling import (
+    Scheduler,
+    SchedulerSettings,
+    create_scheduler,
+    run_pass,
+)
+from cumintack.state.commands import (
+    Command,
+    Operation,
+    PlaceTasks,
+    RegisterWorkers,
+    ReportTasks,
+    SetTeam,
+    SubmitJob,
+)
+from cumintack.state.jobs import (
+    JobSpec,
+    Priority,
+    ReportKind,
+    TaskReport,
+)
+from cumintack.state.machine import apply_command
+from cumintack.state.resources import Resources
+from cumintack.state.tables import ControlTables
+from cumintack.state.workers import WorkerSpec
+
+HOLDS = Resources(4000, 4000)
+
+
+def _commit(tables: ControlTables, operation: Operation) -> None:
+    index = tables.applied_index + 1
+    command = Command(f's{index}', 1, 'test', 0, operation)
+    outcome = apply_command(tables, index, command)
+    assert outcome.error is None
+
+
+def _create(workers: int) -> tuple[ControlTables, Scheduler]:
+    tables = ControlTables()
+    specs = tuple(
+        WorkerSpec(f'w{number}', 'north-yard', 'rack-1', HOLDS)
+        for number in range(workers)
+    )
+    _commit(tables, RegisterWorkers(specs))
+    _commit(tables, SetTeam('team', Resources(99000, 99000)))
+    return tables, create_scheduler(SchedulerSettings(), tables)
+
+
+def _submit(tables: ControlTables, priority: Priority) -> None:
+    spec = JobSpec('job', 'team', 1, HOLDS, priority=priority)
+    _commit(tables, SubmitJob(spec))
+
+
+def test_kept_for_nobody_is_given_back() -> None:
+    """A worker kept for a job that waits no more takes other tasks."""
+    tables, scheduler = _create(1)
+    scheduler.kept['w0'] = Kept('w0', 'gone', 1000)
+    _submit(tables, Priority.normal)
+    assert run_pass(scheduler, tables, 1).placements
+
+
+def test_kept_in_vain_is_given_back() -> None:
+    """A job whose task failed on a worker does not keep it from the others."""
+    tables, scheduler = _create(1)
+    _submit(tables, Priority.urgent)
+    placed = run_pass(scheduler, tables, 1).placements
+    _commit(tables, PlaceTasks(tuple(placed)))
+    task_id = placed[0].task_id
+    _commit(
+        tables,
+        ReportTasks((TaskReport(task_id, 1, ReportKind.failed, 'w0'),)),
+    )
+    _submit(tables, Priority.normal)
+    assert run_pass(scheduler, tables, 2).placements
+
+
+def test_kept_too_long_is_given_back() -> None:
+    """A worker kept for a job that waits for its quota is given back."""
+    tables, scheduler = _create(2)
+    _commit(tables, SetTeam('small', HOLDS))
+    _commit(tables, SubmitJob(JobSpec('job', 'small', 2, HOLDS)))
+    placed = run_pass(scheduler, tables, 1).placements
+    assert len(placed) == 1
+    _commit(tables, PlaceTasks(tuple(placed)))
+    other = 'w1' if placed[0].worker == 'w0' else 'w0'
+    waiting = next(iter(tables.jobs))
+    scheduler.kept[other] = Kept(other, waiting, 10)
+    _submit(tables, Priority.normal)
+    assert not run_pass(scheduler, tables, 2).placements
+    assert run_pass(scheduler, tables, 11).placements
+
+
+def test_order_is_always_the_same() -> None:
+    """Two schedulers over the same history decide alike."""
+    decisions = []
+    for _ in range(2):
+        tables, scheduler = _create(5)
+        for number in range(20):
+            priority = tuple(Priority)[number % 3]
+            _submit(tables, priority)
+        decisions.append(run_pass(scheduler, tables, 1).placements)
+    assert decisions[0] == decisions[1]
+    assert len(decisions[0]) == 5
--- a/cumintack/state/_scheduling.py
+++ b/cumintack/state/_scheduling.py
@@ -59,8 +59,8 @@
     for task in tables.tasks.values():
         if task.status in OCCUPYING_STATUSES:
             _reserve(tables, task)
-    tables.derived.changed_tasks.update(tables.tasks)
-    tables.derived.changed_workers.update(tables.workers)
+    tables.derived.changed_tasks.update(dict.fromkeys(tables.tasks))
+    tables.derived.changed_workers.update(dict.fromkeys(tables.workers))
 
 
 def set_team(tables: ControlTables, index: int, team: SetTeam) -> Outcome:
@@ -101,7 +101,7 @@
             msgspec.structs.replace(known, spec=spec) if known else Worker(spec)
         )
         tables.workers[spec.name] = worker
-        tables.derived.changed_workers.add(spec.name)
+        tables.derived.changed_workers[spec.name] = None
     names = tuple(listed.name for listed in operation.workers)
     return Outcome(index, names=names)
 
@@ -135,7 +135,7 @@
             is_quarantined=operation.is_quarantined,
         )
     tables.workers[operation.name] = worker
-    tables.derived.changed_workers.add(operation.name)
+    tables.derived.changed_workers[operation.name] = None
     return Outcome(index, names=(operation.name,))
 
 
@@ -165,7 +165,7 @@
     for number in range(spec.task_count):
         task_id = f'{job_id}/{number}'
         tables.tasks[task_id] = Task(task_id, job_id)
-        tables.derived.changed_tasks.add(task_id)
+        tables.derived.changed_tasks[task_id] = None
     return Outcome(index, names=(job_id,))
 
 
@@ -299,7 +299,7 @@
     )
     for number in range(job.spec.task_count):
         task = tables.tasks[f'{job.job_id}/{number}']
-        tables.derived.changed_tasks.add(task.task_id)
+        tables.derived.changed_tasks[task.task_id] = None
         is_stuck = task.status in {TaskStatus.held, TaskStatus.unconfirmed}
         if is_stuck and not operation.is_held:
             _store(
@@ -336,8 +336,8 @@
             _store(tables, compute_placed_task(task, placement))
             placed.append(placement.task_id)
         else:
-            tables.derived.changed_tasks.add(placement.task_id)
-            tables.derived.changed_workers.add(placement.worker)
+            tables.derived.changed_tasks[placement.task_id] = None
+            tables.derived.changed_workers[placement.worker] = None
     return Outcome(index, names=tuple(placed))
 
 
@@ -450,7 +450,7 @@
     was_occupying = before.status in OCCUPYING_STATUSES
     is_occupying = after.status in OCCUPYING_STATUSES
     tables.tasks[after.task_id] = after
-    tables.derived.changed_tasks.add(after.task_id)
+    tables.derived.changed_tasks[after.task_id] = None
     if was_occupying and not is_occupying:
         _release(tables, before)
     elif is_occupying and not was_occupying:
@@ -464,8 +464,8 @@
     derived.reserved[task.worker] = compute_sum(reserved, spec.need)
     used = derived.team_usage.get(spec.team, ZERO_RESOURCES)
     derived.team_usage[spec.team] = compute_sum(used, spec.need)
-    derived.tasks_by_worker.setdefault(task.worker, set()).add(task.task_id)
-    derived.changed_workers.add(task.worker)
+    derived.tasks_by_worker.setdefault(task.worker, {})[task.task_id] = None
+    derived.changed_workers[task.worker] = None
 
 
 def _release(tables: ControlTables, task: Task) -> None:
@@ -475,10 +475,11 @@
     derived.reserved[task.worker] = compute_difference(reserved, spec.need)
     used = derived.team_usage.get(spec.team, ZERO_RESOURCES)
     derived.team_usage[spec.team] = compute_difference(used, spec.need)
-    derived.tasks_by_worker.setdefault(task.worker, set()).discard(
+    derived.tasks_by_worker.setdefault(task.worker, {}).pop(
         task.task_id,
+        None,
     )
-    derived.changed_workers.add(task.worker)
+    derived.changed_workers[task.worker] = None
 
 
 def _refuse(index: int, step: str, peer: str, detail: str) -> Outcome:
--- a/cumintack/state/tables.py
+++ b/cumintack/state/tables.py
@@ -24,6 +24,9 @@
 class DerivedTables(msgspec.Struct):
     """What can be computed again from the tables.
 
+    Names stand in dictionaries and not in sets, whose order would differ from
+    process to process, and decisions with it.
+
     Attributes:
         reserved: Resources reserved on each worker.
         tasks_by_worker: Identifiers of the tasks that occupy each worker.
@@ -33,10 +36,10 @@
     """
 
     reserved: dict[str, Resources] = {}
-    tasks_by_worker: dict[str, set[str]] = {}
+    tasks_by_worker: dict[str, dict[str, None]] = {}
     team_usage: dict[str, Resources] = {}
-    changed_tasks: set[str] = set()
-    changed_workers: set[str] = set()
+    changed_tasks: dict[str, None] = {}
+    changed_workers: dict[str, None] = {}
 
 
 class ControlTables(msgspec.Struct):
