--- a/cumintack/coordination/worker_tasks.py
+++ b/cumintack/coordination/worker_tasks.py
@@ -204,7 +204,9 @@
     actions: list[WorkerAction],
 ) -> None:
     is_over = state.ended.get(order.task_id, 0) >= order.attempt
-    if not (is_over or order.is_stop):
+    if is_over:
+        state.vanished.add((order.task_id, order.attempt))
+    elif not order.is_stop:
         actions.append(StartAttempt(order, expires_at_s))
 
 
--- /dev/null
+++ b/cumintack/coordination/worker_tasks_test.py
@@ -0,0 +1,24 @@
+"""The guard's view of its worker: what ended is never started again."""
+
+from cumintack.coordination.worker_tasks import (
+    WorkerTasks,
+    create_reports,
+    take_orders,
+    take_report,
+)
+from cumintack.protocol.messages import TaskOrder, WorkerOrders
+from cumintack.protocol.worker_actions import HeldAttempt
+from cumintack.state.jobs import ReportKind
+
+
+def test_ended_and_forgotten_is_reported() -> None:
+    """An ended attempt that the worker forgot is reported, not started."""
+    state = WorkerTasks('w0')
+    take_report(state, [HeldAttempt('j1/0', 1, 'stopped')])
+    take_report(state, [])
+    state.sent_at_s = 5
+    state.is_answered = False
+    orders = WorkerOrders(1, 5, 10, (TaskOrder('j1/0', 1),), ())
+    assert take_orders(state, orders, 6) == []
+    reports = create_reports(state)
+    assert [report.kind for report in reports] == [ReportKind.vanished]
