A start that the worker refuses is reported as vanished

Cause: the second of the tasks that never ended: a worker that lost a running attempt but remembers its number refuses the start, a guard that restarted sends it at each heartbeat, and the leader renews the lease for ever. Change: the agent answers 409 only for a number seen before (410 for a lease that is over), and the guard reports such an attempt as vanished.

--- a/cumintack/coordination/fake_workers_test.py
+++ b/cumintack/coordination/fake_workers_test.py
@@ -27,6 +27,7 @@
     create_reports,
     list_held,
     take_orders,
+    take_refused,
     take_report,
     take_started,
 )
@@ -269,6 +270,8 @@
                 key = (action.order.task_id, action.order.attempt)
                 if key in worker.live:
                     take_started(worker.guard, key)
+                elif worker.newest.get(key[0], 0) >= key[1]:
+                    take_refused(worker.guard, key)
         self.check()
 
     def heartbeat_all(self) -> None:
--- a/cumintack/coordination/worker_tasks.py
+++ b/cumintack/coordination/worker_tasks.py
@@ -100,6 +100,17 @@
         state.ended.popitem(last=False)
 
 
+def take_refused(state: WorkerTasks, key: tuple[str, int]) -> None:
+    """Take note that the worker refused a start, having seen the attempt.
+
+    Args:
+        state: The guard's memory.
+        key: Task and attempt.
+    """
+    state.vanished.add(key)
+    _remember_ended(state, *key)
+
+
 def create_reports(state: WorkerTasks) -> tuple[TaskReport, ...]:
     """Create the reports for the leader.
 
--- a/cumintack/daemon/guard_part.py
+++ b/cumintack/daemon/guard_part.py
@@ -26,6 +26,7 @@
     create_reports,
     list_held,
     take_orders,
+    take_refused,
     take_report,
     take_started,
 )
@@ -46,7 +47,7 @@
     WorkerAction,
 )
 from cumintack.state.configuration import Configuration
-from cumintack.state.errors import StepError, render_error
+from cumintack.state.errors import ErrorCode, StepError, render_error
 from cumintack.state.requests import (
     Answer,
     Dispatch,
@@ -404,6 +405,7 @@
         for action in actions:
             error = platform.perform(action)
             if error is not None:
+                self._note_refused(action, error)
                 logger.warning(
                     'guard: worker refused',
                     error=render_error(error),
@@ -413,6 +415,12 @@
         if not all(isinstance(one, RenewAttempts) for one in actions):
             self._node.post(self._hurry_report)
 
+    def _note_refused(self, action: WorkerAction, error: StepError) -> None:
+        is_fenced = error.code is ErrorCode.conflict
+        if is_fenced and isinstance(action, StartAttempt):
+            key = (action.order.task_id, action.order.attempt)
+            self._node.post(lambda: take_refused(self._tasks, key))
+
     def _create_started(self, action: StartAttempt) -> Callable[[], None]:
         key = (action.order.task_id, action.order.attempt)
         return lambda: take_started(self._tasks, key)
--- a/cumintack/demo/sample_worker.py
+++ b/cumintack/demo/sample_worker.py
@@ -213,7 +213,9 @@
         if key in self._attempts:
             return HttpResponse(HTTPStatus.OK, b'{}')
         is_newer = key[1] > self._newest.get(key[0], 0)
-        if not is_newer or _read_clock_ms() >= body.lease_until_ms:
+        if _read_clock_ms() >= body.lease_until_ms:
+            return HttpResponse(HTTPStatus.GONE, b'{"error":"lease over"}')
+        if not is_newer:
             return HttpResponse(HTTPStatus.CONFLICT, b'{"error":"fenced"}')
         self._newest[key[0]] = key[1]
         options = dict(urllib.parse.parse_qsl(body.payload))
--- a/cumintack/transport/platform_edge.py
+++ b/cumintack/transport/platform_edge.py
@@ -163,8 +163,11 @@
         answer = sent.ok_value
         if answer.status == HTTPStatus.OK:
             return None
+        code = ErrorCode.invalid
+        if answer.status == HTTPStatus.CONFLICT:
+            code = ErrorCode.conflict
         return StepError(
-            ErrorCode.invalid,
+            code,
             'platform.act',
             path,
             f'status {answer.status}',
