Local tables of an entry are queried by one function

Cause: reading the change again: upstreams and events ran the same query and rendered the same answer in two places. Change: one function for both; the columns of events are a named constant. Conclusion: no behaviour changed.

--- a/cumintack/daemon/admin.py
+++ b/cumintack/daemon/admin.py
@@ -3,7 +3,7 @@
 from http import HTTPStatus
 import queue
 import urllib.parse
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import msgspec
 from result import Err, Ok
@@ -11,6 +11,7 @@
 from cumintack.coordination.entry_state import EntryState
 from cumintack.coordination.querying import (
     UPSTREAM_COLUMNS,
+    Cell,
     get_upstream_rows,
     run_query,
 )
@@ -63,6 +64,14 @@
 WAIT_S = 12.0
 GATHER_TIMEOUT_S = 1.0
 MAX_EVENTS = 5000
+EVENT_COLUMNS = (
+    'wall_ms',
+    'counter',
+    'process',
+    'event',
+    'subject',
+    'detail',
+)
 
 Responses = queue.SimpleQueue[HttpResponse]
 AskAction = Callable[[Responses], None]
@@ -225,13 +234,7 @@
 
     def _list_upstreams(self, select: Select, responses: Responses) -> None:
         rows = get_upstream_rows(self._state, self._node.clock.now_s())
-        match run_query(select, UPSTREAM_COLUMNS, rows):
-            case Ok(found):
-                responses.put(
-                    HttpResponse(HTTPStatus.OK, msgspec.json.encode(found))
-                )
-            case Err(error):
-                responses.put(create_step_response(error))
+        responses.put(_create_rows_response(select, UPSTREAM_COLUMNS, rows))
 
     def _list_events(self, select: Select, responses: Responses) -> None:
         events = get_events(self._node.ring, '', MAX_EVENTS)
@@ -246,21 +249,7 @@
             )
             for event in events
         ]
-        columns = (
-            'wall_ms',
-            'counter',
-            'process',
-            'event',
-            'subject',
-            'detail',
-        )
-        match run_query(select, columns, rows):
-            case Ok(found):
-                responses.put(
-                    HttpResponse(HTTPStatus.OK, msgspec.json.encode(found))
-                )
-            case Err(error):
-                responses.put(create_step_response(error))
+        responses.put(_create_rows_response(select, EVENT_COLUMNS, rows))
 
     def _query(self, text: str, responses: Responses) -> None:
         self._node.call(
@@ -366,6 +355,18 @@
                 )
 
 
+def _create_rows_response(
+    select: Select,
+    columns: tuple[str, ...],
+    rows: Iterable[tuple[Cell, ...]],
+) -> HttpResponse:
+    match run_query(select, columns, rows):
+        case Ok(found):
+            return HttpResponse(HTTPStatus.OK, msgspec.json.encode(found))
+        case Err(error):
+            return create_step_response(error)
+
+
 def _create_query_response(reply: CallReply | None) -> HttpResponse:
     if not isinstance(reply, QueryReply):
         return create_step_response(_create_timeout())
