An answer cut short is an error for every user of the client

Cause: HttpClient._read read once with an amount; urllib3 reports missing bytes only at the next read, so half of a declared body became a whole answer with a length that fitted it. Ruled out: chunked answers, which the library checks at the first read. Change: the client reads until the end or the limit.

--- a/cumintack/transport/http_client.py
+++ b/cumintack/transport/http_client.py
@@ -48,6 +48,26 @@
     is_unsent: bool
 
 
+def _read_whole(
+    response: urllib3.BaseHTTPResponse,
+    limit_bytes: int,
+) -> bytes:
+    """Read to the end of the body, or up to a limit.
+
+    The library reports bytes that are missing only when it is asked to read
+    past them, so that one read alone can't tell a whole body from a part.
+    """
+    parts: list[bytes] = []
+    size = 0
+    while size < limit_bytes:
+        part = response.read(limit_bytes - size)
+        if not part:
+            break
+        parts.append(part)
+        size += len(part)
+    return b''.join(parts)
+
+
 class HttpClient:
     """Connections to one peer; safe to use from many threads."""
 
@@ -113,7 +133,7 @@
     ) -> Result[HttpAnswer, SentError]:
         is_bodyless = method == 'HEAD' or response.status in BODYLESS_STATUSES
         try:
-            body = response.read(self._max_body_bytes + 1)
+            body = _read_whole(response, self._max_body_bytes + 1)
             is_declared = (
                 is_bodyless
                 or 'content-length' in response.headers
--- /dev/null
+++ b/cumintack/transport/http_client_test.py
@@ -0,0 +1,104 @@
+"""An answer of a peer is whole, or it is an error."""
+
+import socket
+import threading
+from collections.abc import Iterator
+
+import pytest
+from result import Err, Ok, Result
+
+from cumintack.state.errors import ErrorCode
+from cumintack.transport.http_client import (
+    HttpAnswer,
+    HttpClient,
+    SentError,
+)
+
+LIMIT_BYTES = 16
+WHOLE_BODY = b'x' * LIMIT_BYTES
+TIMEOUT_S = 5
+
+
+class RawPeer:
+    """Sends the same bytes to everyone who connects, then closes."""
+
+    def __init__(self, sent: bytes) -> None:
+        """Listen on a free port."""
+        self._sent = sent
+        self._socket = socket.create_server(('127.0.0.1', 0))
+        self.address = f'127.0.0.1:{self._socket.getsockname()[1]}'
+        self._thread = threading.Thread(target=self._serve, daemon=True)
+        self._thread.start()
+
+    def _serve(self) -> None:
+        while True:
+            try:
+                connection, _peer = self._socket.accept()
+            except OSError:
+                return
+            with connection:
+                connection.recv(65536)
+                connection.sendall(self._sent)
+
+    def close(self) -> None:
+        """Stop listening."""
+        self._socket.shutdown(socket.SHUT_RDWR)
+        self._socket.close()
+        self._thread.join(TIMEOUT_S)
+
+
+@pytest.fixture(name='peers')
+def _peers() -> Iterator[list[RawPeer]]:
+    peers: list[RawPeer] = []
+    yield peers
+    for peer in peers:
+        peer.close()
+
+
+def _exchange(
+    peers: list[RawPeer],
+    sent: bytes,
+) -> Result[HttpAnswer, SentError]:
+    peer = RawPeer(sent)
+    peers.append(peer)
+    client = HttpClient(peer.address, 1, LIMIT_BYTES)
+    return client.send('GET', '/', {}, b'', TIMEOUT_S)
+
+
+def _get_code(outcome: Result[HttpAnswer, SentError]) -> ErrorCode:
+    assert isinstance(outcome, Err), outcome
+    return outcome.err_value.error.code
+
+
+def test_declared_length_cut_short(peers: list[RawPeer]) -> None:
+    """Half of a declared body is an error, not a shorter answer."""
+    sent = b'HTTP/1.1 200 OK\r\nContent-Length: 16\r\n\r\n12345678'
+    assert _get_code(_exchange(peers, sent)) is ErrorCode.corrupt
+
+
+def test_chunked_cut_short(peers: list[RawPeer]) -> None:
+    """A chunked body without its last chunk is an error."""
+    sent = (
+        b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+        b'8\r\n12345678\r\n'
+    )
+    assert _get_code(_exchange(peers, sent)) is ErrorCode.corrupt
+
+
+def test_closed_before_the_first_byte(peers: list[RawPeer]) -> None:
+    """A connection closed without an answer is an error."""
+    assert _get_code(_exchange(peers, b'')) is ErrorCode.unavailable
+
+
+def test_body_as_long_as_the_limit(peers: list[RawPeer]) -> None:
+    """A body of exactly the limit is whole."""
+    sent = b'HTTP/1.1 200 OK\r\nContent-Length: 16\r\n\r\n' + WHOLE_BODY
+    outcome = _exchange(peers, sent)
+    assert isinstance(outcome, Ok), outcome
+    assert outcome.ok_value.body == WHOLE_BODY
+
+
+def test_limit_cut_short(peers: list[RawPeer]) -> None:
+    """A body that reached the limit but not its declared length fails."""
+    sent = b'HTTP/1.1 200 OK\r\nContent-Length: 17\r\n\r\n' + WHOLE_BODY
+    assert _get_code(_exchange(peers, sent)) is ErrorCode.corrupt
