--- a/cumintack/coordination/runs/evacuation.py
+++ b/cumintack/coordination/runs/evacuation.py
@@ -6,7 +6,12 @@
 
 from cumintack.coordination.runs.views import WorkerView
 from cumintack.protocol.run_messages import RunKey
-from cumintack.state.workflows import WorkflowTables, get_step, get_task
+from cumintack.state.workflows import (
+    StepSpec,
+    WorkflowTables,
+    get_step,
+    get_task,
+)
 
 # Percent from which a run is left to end by itself.
 NEARLY_DONE_PERCENT = 80
@@ -37,8 +42,11 @@
         run_key = RunKey(task_id, record.run)
         run = view.running.get(run_key)
         percent = run.percent if run else 0
-        rest_ms = step.estimate_ms * (100 - percent) / 100
-        is_ending = percent >= NEARLY_DONE_PERCENT or rest_ms < left_ms
-        if step.is_lasting or not is_ending:
+        if step.is_lasting or not _is_ending(step, percent, left_ms):
             evacuated.append(run_key)
     return evacuated
+
+
+def _is_ending(step: StepSpec, percent: float, left_ms: float) -> bool:
+    rest_ms = step.estimate_ms * (100 - percent) / 100
+    return percent >= NEARLY_DONE_PERCENT or rest_ms < left_ms
--- a/cumintack/coordination/runs/leading.py
+++ b/cumintack/coordination/runs/leading.py
@@ -170,25 +170,38 @@
     guard: str,
     report: RunReport,
 ) -> list[RunEnd]:
-    lifetime = report.facts.lifetime
     listed = {ended.key: ended for ended in report.ended}
     closed = {run.key for run in report.closed}
     ends = []
     for key, _task, record in _iter_placed(tables, guard):
         saved = _get_saved(lead, guard, key)
-        if record.lifetime > lifetime:
-            continue
-        if record.lifetime == lifetime and key in listed:
-            ended = listed[key]
-            kind = RunEndKind(ended.kind)
-            ends.append(RunEnd(*_split(key), kind, ended.checkpoint or saved))
-        elif record.lifetime < lifetime or report.is_lapsed:
+        if record.lifetime < report.facts.lifetime:
             ends.append(RunEnd(*_split(key), RunEndKind.lost, saved))
-        elif key in closed:
-            ends.append(RunEnd(*_split(key), RunEndKind.refused))
+        elif record.lifetime == report.facts.lifetime:
+            found = _find_end(key, listed.get(key), report.is_lapsed, closed)
+            if found is not None:
+                checkpoint = found.checkpoint or saved
+                ends.append(
+                    msgspec.structs.replace(found, checkpoint=checkpoint)
+                )
     return ends
 
 
+def _find_end(
+    key: RunKey,
+    ended: EndedRun | None,
+    is_lapsed: bool,
+    closed: set[RunKey],
+) -> RunEnd | None:
+    if ended is not None:
+        return RunEnd(*_split(key), RunEndKind(ended.kind), ended.checkpoint)
+    if is_lapsed:
+        return RunEnd(*_split(key), RunEndKind.lost)
+    if key in closed:
+        return RunEnd(*_split(key), RunEndKind.refused)
+    return None
+
+
 def _split(key: RunKey) -> tuple[str, int]:
     return (key.task_id, key.run)
 
@@ -432,18 +445,11 @@
         is_active = workflow.status is WorkflowStatus.active
         if not is_active or key in lead.stopping:
             stops.append(key)
-            continue
-        details = None
-        if key not in view.known:
-            step = get_step(tables, task.step_key)
-            details = RunDetails(
-                workflow.spec.program,
-                record.checkpoint if step.is_checkpointed else '',
-                '',
-                step.is_filling,
-                step.target_ms,
-            )
-        wanted.append(RunOrder(key, details))
+        elif key in view.known:
+            wanted.append(RunOrder(key))
+        else:
+            details = _create_details(tables, task, record)
+            wanted.append(RunOrder(key, details))
     view.granted_until_s = max(
         view.granted_until_s,
         view.heard_at_s + lead.settings.lease_s,
@@ -461,6 +467,22 @@
     return Send(guard, orders)
 
 
+def _create_details(
+    tables: WorkflowTables,
+    task: TaskKey,
+    record: TaskRecord,
+) -> RunDetails:
+    workflow = tables.workflows[task.step_key.workflow_id]
+    step = workflow.spec.steps[task.step_key.step]
+    return RunDetails(
+        workflow.spec.program,
+        record.checkpoint if step.is_checkpointed else '',
+        '',
+        step.is_filling,
+        step.target_ms,
+    )
+
+
 def _get_settled(tables: WorkflowTables, view: WorkerView) -> int:
     settled = 0
     for ended in sorted(view.ended, key=_get_number):
--- a/cumintack/coordination/runs/pacing.py
+++ b/cumintack/coordination/runs/pacing.py
@@ -92,9 +92,9 @@
         if run.key in details and details[run.key].is_filling
     ]
     present = set(filling)
-    for key in list(state.sent):
-        if key not in present:
-            state.sent.pop(key)
+    for known in list(state.sent):
+        if known not in present:
+            state.sent.pop(known)
     return {
         key: percent
         for key in filling
--- a/cumintack/coordination/runs/placing.py
+++ b/cumintack/coordination/runs/placing.py
@@ -147,8 +147,10 @@
     key: StepKey,
     step: StepSpec,
 ) -> Iterator[Wish]:
-    pool = current.tables.workflows[key.workflow_id].queue.pool
-    for index in list(current.tables.index.waiting[key].indexes):
+    workflow = current.tables.workflows[key.workflow_id]
+    pool = workflow.queue.pool
+    waiting = current.tables.index.waiting[key]
+    for index in list(waiting.indexes):
         task_key = TaskKey(key, index)
         record = get_task(current.tables, task_key)
         is_taken = create_task_id(task_key) in current.taken
--- a/cumintack/coordination/runs/worker_runs.py
+++ b/cumintack/coordination/runs/worker_runs.py
@@ -320,7 +320,8 @@
     running = _get_running(runs)
     ended = _get_ended(runs)
     calls: list[WorkerCall] = []
-    for key in [*runs.stops, *running]:
+    present = (*runs.stops, *running)
+    for key in present:
         if key not in runs.wanted and key not in ended:
             _add_stop(runs, key, calls, now_s)
     for wanted in runs.wanted:
--- a/cumintack/daemon/control_part.py
+++ b/cumintack/daemon/control_part.py
@@ -334,9 +334,7 @@
     def _judge_removed(self, message: NodeStatusReply) -> None:
         if not message.is_leader or not message.members:
             return
-        member_ids = frozenset(
-            member.member_id for member in message.members
-        )
+        member_ids = frozenset(member.member_id for member in message.members)
         if not replication.is_removed(self._replica, message.term, member_ids):
             return
         logger.warning(
--- a/cumintack/daemon/node.py
+++ b/cumintack/daemon/node.py
@@ -375,7 +375,8 @@
             if member.name != self.settings.name:
                 self.links.dial(member.name, member.address)
         if message.members:
-            self._forget_replicas({member.name for member in message.members})
+            kept = {listed.name for listed in message.members}
+            self._forget_replicas(kept)
 
     def _forget_replicas(self, kept: set[str]) -> None:
         """Hang up on former replicas, whose address others may get."""
--- a/cumintack/daemon/settings.py
+++ b/cumintack/daemon/settings.py
@@ -261,17 +261,17 @@
     control: ControlSettings | None = None
     entry: EntrySettings | None = None
     guard: GuardSettings | None = None
-    workflow_entry: WorkflowEntrySettings | None = None
-    workflow_guard: WorkflowGuardSettings | None = None
-    seeds: tuple[str, ...] = ()
-    link_port: int = 0
-    label: str = ''
     admin: AdminSettings = AdminSettings()
     statsd: StatsdSettings = StatsdSettings()
     log: LogSettings = LogSettings()
     keys_file: str = ''
     drain_timeout_ms: int = 60000
     timeline_events: int = 20000
+    workflow_entry: WorkflowEntrySettings | None = None
+    workflow_guard: WorkflowGuardSettings | None = None
+    seeds: tuple[str, ...] = ()
+    link_port: int = 0
+    label: str = ''
 
 
 def get_roles(settings: Settings) -> tuple[str, ...]:
@@ -399,9 +399,7 @@
     if not roles:
         problems.append('control, entry, guard: at least one is needed')
     if not settings.control_replicas:
-        problems.append(
-            'control_replicas: at least one is needed, here or in seeds',
-        )
+        problems.append('control_replicas: at least one is needed')
     names = [peer.name for peer in settings.control_replicas]
     is_listed = settings.name in names or bool(settings.seeds)
     if 'control' in roles and not is_listed:
@@ -450,16 +448,15 @@
 
 
 def _check_durations(settings: Settings) -> list[str]:
-    problems = []
+    problems: list[str] = []
     for role in ROLE_NAMES:
         section = getattr(settings, role)
-        if section is None:
-            continue
-        for name in section.__struct_fields__:
-            number = getattr(section, name)
-            is_number = type(number) in {int, float}
-            if is_number and number <= 0:
-                problems.append(f'{role}.{name}: must be over 0')
+        names = section.__struct_fields__ if section else ()
+        problems.extend(
+            f'{role}.{name}: must be over 0'
+            for name in names
+            if _is_number_up_to_zero(getattr(section, name))
+        )
     control = settings.control
     if control and control.election_timeout_ms < control.heartbeat_ms * 3:
         problems.append(
@@ -468,6 +465,11 @@
     return problems
 
 
+def _is_number_up_to_zero(setting: object) -> bool:
+    is_flag = isinstance(setting, bool)
+    return isinstance(setting, (int, float)) and not is_flag and setting <= 0
+
+
 def _check_tokens(settings: Settings) -> list[str]:
     problems = []
     for index, token in enumerate(settings.admin.tokens):
--- a/cumintack/daemon/workflow_desk.py
+++ b/cumintack/daemon/workflow_desk.py
@@ -35,7 +35,7 @@
 QUEUED = 'queued'
 RUNNING = 'running'
 # Numbers of reads here stand apart from those of the query desk.
-FIRST_READ_ID = 1 << 40
+FIRST_READ_ID = 0x10000000000
 
 logger = structlog.get_logger()
 Question = WorkflowQuery | QueueConfigurationQuery
--- a/cumintack/daemon/workflow_guard_part.py
+++ b/cumintack/daemon/workflow_guard_part.py
@@ -273,9 +273,7 @@
     def tick(self, now_s: float) -> None:
         """Let time pass: report, and retry calls that are due."""
         if now_s >= self._report_at_s:
-            self._report_at_s = (
-                now_s + self._settings.report_interval_ms / 1000
-            )
+            self._report_at_s = now_s + self._settings.report_interval_ms / 1000
             self._report(now_s)
             self._make_calls(now_s)
 
--- a/cumintack/platform/job_calls.py
+++ b/cumintack/platform/job_calls.py
@@ -174,7 +174,7 @@
     schedule = None
     if job.repeat_count > 0:
         schedule = Schedule(job.repeat_count, job.first_at_ms, job.interval_ms)
-    steps = tuple(_decode_step(step) for step in job.steps)
+    steps = tuple(_decode_step(asked) for asked in job.steps)
     return WorkflowSpec(job.program, steps, schedule)
 
 
--- a/cumintack/state/_workflow_changes.py
+++ b/cumintack/state/_workflow_changes.py
@@ -39,6 +39,8 @@
 # cost of a pass over the table is spread.
 FORGET_EVERY = 256
 STEP = 'workflow'
+# What a transition returns that refused nothing.
+APPLIED: StepError | None = None
 
 
 def apply_workflow_operation(
@@ -78,9 +80,9 @@
     configuration: QueueConfiguration,
 ) -> StepError | None:
     if configuration.version <= tables.configuration.version:
-        return None
+        return APPLIED
     tables.configuration = configuration
-    return None
+    return APPLIED
 
 
 def _accept(
@@ -89,7 +91,7 @@
     now_ms: int,
 ) -> StepError | None:
     if operation.workflow_id in tables.workflows:
-        return None
+        return APPLIED
     if not tables.configuration.version:
         return _refuse(ErrorCode.unavailable, 'no queues are configured yet')
     queue = find_queue(tables.configuration, operation.host, operation.path)
@@ -109,7 +111,7 @@
         _open_occurrence(tables, workflow, 0)
     else:
         tables.index.unbegun[workflow.workflow_id] = 0
-    return None
+    return APPLIED
 
 
 def _forget_old(tables: WorkflowTables, now_ms: int) -> None:
@@ -130,11 +132,11 @@
 ) -> StepError | None:
     expected = tables.index.unbegun.get(operation.workflow_id)
     if expected != operation.occurrence:
-        return None
+        return APPLIED
     workflow = tables.workflows[operation.workflow_id]
     _open_occurrence(tables, workflow, operation.occurrence)
     _advance_unbegun(tables, workflow)
-    return None
+    return APPLIED
 
 
 def _advance_unbegun(tables: WorkflowTables, workflow: WorkflowRecord) -> None:
@@ -155,7 +157,7 @@
         StepRecord([TaskRecord() for _ in range(step.task_count)])
         for step in workflow.spec.steps
     ]
-    for position in range(len(workflow.spec.steps)):
+    for position, _step in enumerate(workflow.spec.steps):
         _open_step(
             tables,
             workflow,
@@ -206,9 +208,9 @@
     if workflow is None:
         return _refuse(ErrorCode.not_found, 'there is no such workflow')
     if workflow.status is not WorkflowStatus.active:
-        return None
+        return APPLIED
     _end_workflow(tables, workflow, WorkflowStatus.cancelled, now_ms)
-    return None
+    return APPLIED
 
 
 def _end_workflow(
@@ -225,7 +227,7 @@
     index.active.pop(workflow.workflow_id, None)
     index.unbegun.pop(workflow.workflow_id, None)
     for occurrence in workflow.occurrences:
-        for position in range(len(workflow.spec.steps)):
+        for position, _step in enumerate(workflow.spec.steps):
             key = StepKey(workflow.workflow_id, occurrence, position)
             index.waiting.pop(key, None)
 
@@ -239,7 +241,7 @@
         _record_end(tables, end, now_ms)
     for start in operation.starts:
         _record_start(tables, start)
-    return None
+    return APPLIED
 
 
 def _record_start(tables: WorkflowTables, start: RunStart) -> None:
@@ -368,7 +370,7 @@
         tables.index.active[workflow.workflow_id] = None
         _advance_unbegun(tables, workflow)
         for occurrence in workflow.occurrences:
-            for position in range(len(workflow.spec.steps)):
+            for position, _step in enumerate(workflow.spec.steps):
                 key = StepKey(workflow.workflow_id, occurrence, position)
                 _open_step(tables, workflow, key)
 
--- a/cumintack/state/machine.py
+++ b/cumintack/state/machine.py
@@ -48,13 +48,6 @@
 
 MAX_OUTCOMES_PER_SESSION = 64
 MAX_SESSIONS = 20000
-WORKFLOW_KINDS = (
-    AcceptWorkflow,
-    BeginOccurrence,
-    CancelWorkflow,
-    RecordRuns,
-    ReplaceQueues,
-)
 
 
 def apply_command(
@@ -73,20 +66,14 @@
         The outcome of the first application of this session and sequence.
     """
     tables.applied_index = index
-    if isinstance(command.operation, WORKFLOW_KINDS):
-        error = apply_workflow_operation(
-            tables.workflows,
-            command.operation,
-            command.proposed_at_ms,
-        )
-        return Outcome(index, error)
     session = tables.sessions.get(command.session)
     if session is not None:
         repeated = _get_repeated(session, command)
         if repeated is not None:
             return repeated
     outcome = _apply_operation(tables, index, command)
-    _record_outcome(tables, command, outcome)
+    if command.session:
+        _record_outcome(tables, command, outcome)
     return outcome
 
 
@@ -167,6 +154,19 @@
             return _scheduling.place_tasks(tables, index, operation)
         case ReportTasks():
             return _scheduling.report_tasks(tables, index, operation)
+        case (
+            AcceptWorkflow()
+            | BeginOccurrence()
+            | CancelWorkflow()
+            | RecordRuns()
+            | ReplaceQueues()
+        ):
+            error = apply_workflow_operation(
+                tables.workflows,
+                operation,
+                command.proposed_at_ms,
+            )
+            return Outcome(index, error)
 
 
 def _set_configuration(
--- a/cumintack/state/queues.py
+++ b/cumintack/state/queues.py
@@ -126,9 +126,10 @@
     taken: dict[tuple[str, str], str] = {}
     for queue in configuration.queues:
         place = (queue.host, queue.path_prefix)
-        if place in taken:
+        other = taken.get(place)
+        if other is not None:
             problems.append(
-                f'queues {taken[place]!r} and {queue.name!r} share '
+                f'queues {other!r} and {queue.name!r} share '
                 f'{queue.host}{queue.path_prefix}',
             )
         taken[place] = queue.name
@@ -157,6 +158,4 @@
     Returns:
         One line for each problem; empty if it may be put in force.
     """
-    return [
-        problem for check in CHECKS for problem in check(configuration)
-    ]
+    return [problem for check in CHECKS for problem in check(configuration)]
--- a/cumintack/state/workflows.py
+++ b/cumintack/state/workflows.py
@@ -346,7 +346,8 @@
     Returns:
         The step.
     """
-    return tables.workflows[key.workflow_id].spec.steps[key.step]
+    workflow = tables.workflows[key.workflow_id]
+    return workflow.spec.steps[key.step]
 
 
 def count_pending(tables: WorkflowTables, queue: Queue) -> int:
@@ -360,10 +361,10 @@
         Their number.
     """
     place = (queue.host, queue.path_prefix)
+    workflows = tables.workflows
     return sum(
-        1
+        _is_pending(workflows[workflow_id], place)
         for workflow_id in tables.index.active
-        if _is_pending(tables.workflows[workflow_id], place)
     )
 
 
--- a/cumintack/transport/http_client_test.py
+++ b/cumintack/transport/http_client_test.py
@@ -92,7 +92,7 @@
 
 def test_body_as_long_as_the_limit(peers: list[RawPeer]) -> None:
     """A body of exactly the limit is whole."""
-    sent = b'HTTP/1.1 200 OK\r\nContent-Length: 16\r\n\r\n' + WHOLE_BODY
+    sent = b'HTTP/1.1 200 OK\r\nContent-Length: 16\r\n\r\n%b' % WHOLE_BODY
     outcome = _exchange(peers, sent)
     assert isinstance(outcome, Ok), outcome
     assert outcome.ok_value.body == WHOLE_BODY
@@ -100,5 +100,5 @@
 
 def test_limit_cut_short(peers: list[RawPeer]) -> None:
     """A body that reached the limit but not its declared length fails."""
-    sent = b'HTTP/1.1 200 OK\r\nContent-Length: 17\r\n\r\n' + WHOLE_BODY
+    sent = b'HTTP/1.1 200 OK\r\nContent-Length: 17\r\n\r\n%b' % WHOLE_BODY
     assert _get_code(_exchange(peers, sent)) is ErrorCode.corrupt
