A start meant for a former life of a worker frees nothing

A worker that came back under its old identifier took a start that had waited in the guard's queue (it was sent with the facts of the moment, not of its making), while the leader had counted the run as lost with the former life and placed it again. Ruled out: a stop confirmed too early (the closed run was never reported). Change: a call keeps the life it was made for; a guard reports a new life only when no call for the former one is on its way; the leader frees a run of a former life only after a look at the new one; a late look of a former life ends nothing.

--- a/cumintack/cli/reference.py
+++ b/cumintack/cli/reference.py
@@ -16,6 +16,8 @@
     Settings,
     StatsdSettings,
     TokenSettings,
+    WorkflowEntrySettings,
+    WorkflowGuardSettings,
 )
 from cumintack.state.configuration import KEY_RULES
 
@@ -25,6 +27,8 @@
     ('control', ControlSettings),
     ('entry', EntrySettings),
     ('guard', GuardSettings),
+    ('workflow_entry', WorkflowEntrySettings),
+    ('workflow_guard', WorkflowGuardSettings),
     ('admin', AdminSettings),
     ('admin.tokens[]', TokenSettings),
     ('statsd', StatsdSettings),
--- a/cumintack/coordination/runs/leading.py
+++ b/cumintack/coordination/runs/leading.py
@@ -170,36 +170,49 @@
     guard: str,
     report: RunReport,
 ) -> list[RunEnd]:
-    listed = {ended.key: ended for ended in report.ended}
-    closed = {run.key for run in report.closed}
+    finder = EndFinder(report)
     ends = []
     for key, _task, record in _iter_placed(tables, guard):
-        saved = _get_saved(lead, guard, key)
-        if record.lifetime < report.facts.lifetime:
-            ends.append(RunEnd(*_split(key), RunEndKind.lost, saved))
-        elif record.lifetime == report.facts.lifetime:
-            found = _find_end(key, listed.get(key), report.is_lapsed, closed)
-            if found is not None:
-                checkpoint = found.checkpoint or saved
-                ends.append(
-                    msgspec.structs.replace(found, checkpoint=checkpoint)
-                )
+        found = finder.find(key, record.lifetime)
+        if found is not None:
+            checkpoint = found.checkpoint or _get_saved(lead, guard, key)
+            ends.append(msgspec.structs.replace(found, checkpoint=checkpoint))
     return ends
 
 
-def _find_end(
-    key: RunKey,
-    ended: EndedRun | None,
-    is_lapsed: bool,
-    closed: set[RunKey],
-) -> RunEnd | None:
-    if ended is not None:
-        return RunEnd(*_split(key), RunEndKind(ended.kind), ended.checkpoint)
-    if is_lapsed:
-        return RunEnd(*_split(key), RunEndKind.lost)
-    if key in closed:
-        return RunEnd(*_split(key), RunEndKind.refused)
-    return None
+class EndFinder:
+    """Tells from one report which runs are over."""
+
+    __slots__ = ('_closed', '_listed', '_present', '_report')
+
+    def __init__(self, report: RunReport) -> None:
+        """Sort what the report lists."""
+        self._report = report
+        self._listed = {ended.key: ended for ended in report.ended}
+        self._closed = {run.key for run in report.closed}
+        self._present = {run.key for run in report.running}
+
+    def find(self, key: RunKey, lifetime: str) -> RunEnd | None:
+        """Return how a run on some life of the worker ended, if it did."""
+        reported = self._report.facts.lifetime
+        if lifetime == reported:
+            return self._find_own(key)
+        # A start that was on its way may have reached the new life.
+        is_absent = self._report.is_looked and key not in self._present
+        if lifetime < reported and is_absent:
+            return RunEnd(*_split(key), RunEndKind.lost)
+        return None
+
+    def _find_own(self, key: RunKey) -> RunEnd | None:
+        ended = self._listed.get(key)
+        if ended is not None:
+            kind = RunEndKind(ended.kind)
+            return RunEnd(*_split(key), kind, ended.checkpoint)
+        if self._report.is_lapsed:
+            return RunEnd(*_split(key), RunEndKind.lost)
+        if key in self._closed:
+            return RunEnd(*_split(key), RunEndKind.refused)
+        return None
 
 
 def _split(key: RunKey) -> tuple[str, int]:
--- /dev/null
+++ b/cumintack/coordination/runs/leading_test.py
@@ -0,0 +1,198 @@
+"""The leader records ends once and frees nothing that may still run."""
+
+from cumintack.coordination.effects import ProposeOwn, Send
+from cumintack.coordination.runs.leading import (
+    RunLeadership,
+    RunSettings,
+    follow_applied,
+    handle_report,
+    handle_run_tick,
+)
+from cumintack.protocol.run_messages import (
+    EndedRun,
+    RunKey,
+    RunningRun,
+    RunOrders,
+    RunReport,
+    WorkerFacts,
+)
+from cumintack.state._workflow_changes import apply_workflow_operation
+from cumintack.state.queues import Pool, Queue, QueueConfiguration
+from cumintack.state.resources import Resources
+from cumintack.state.workflows import (
+    AcceptWorkflow,
+    CancelWorkflow,
+    RecordRuns,
+    ReplaceQueues,
+    RunEnd,
+    RunEndKind,
+    StepSpec,
+    WorkflowOperation,
+    WorkflowSpec,
+    WorkflowStatus,
+    WorkflowTables,
+)
+
+GUARD = '10.0.0.1'
+OTHER_GUARD = '10.0.0.2'
+LIFE = '000001.worker'
+NEXT_LIFE = '000002.worker'
+WORKFLOW_ID = '0123456789abcdef'
+PATH = f'/queue/{WORKFLOW_ID}'
+LEASE_S = 6.0
+STEPS = (
+    StepSpec(1, Resources(1000, 100), 1000),
+    StepSpec(1, Resources(1000, 100), 1000, (0,)),
+)
+
+
+class Group:
+    """A leader whose proposals are applied at once."""
+
+    def __init__(self, steps: tuple[StepSpec, ...] = STEPS) -> None:
+        """Accept one workflow."""
+        self.tables = WorkflowTables()
+        self.lead = RunLeadership(RunSettings(LEASE_S, 1), 1, 0)
+        self.orders: dict[str, RunOrders] = {}
+        self.ends: list[RunEnd] = []
+        queue = Queue('queue', 'host', '/queue/', 'pool', 0, 2, 2, 1000, 3000)
+        self.apply(
+            ReplaceQueues(QueueConfiguration(1, (queue,), (Pool('pool'),))),
+        )
+        spec = WorkflowSpec('text', steps)
+        self.apply(AcceptWorkflow(WORKFLOW_ID, 'host', PATH, spec))
+
+    def apply(self, operation: WorkflowOperation) -> None:
+        """Apply an operation as the replicated log does."""
+        error = apply_workflow_operation(self.tables, operation, 0)
+        assert error is None
+        follow_applied(self.lead, self.tables, operation)
+
+    def report(self, report: RunReport, guard: str, now_s: float) -> None:
+        """Hand in the report of a guard and run a tick after it."""
+        effects = handle_report(self.lead, self.tables, guard, report, now_s)
+        self._run(effects)
+        self.tick(now_s)
+
+    def tick(self, now_s: float) -> None:
+        """Let time pass."""
+        self._run(handle_run_tick(self.lead, self.tables, now_s, 0))
+        self._run(handle_run_tick(self.lead, self.tables, now_s + 0.02, 0))
+
+    def _run(self, effects: list[Send | ProposeOwn]) -> None:
+        for effect in effects:
+            match effect:
+                case Send(message=RunOrders() as orders):
+                    self.orders[effect.peer] = orders
+                case ProposeOwn(operation=RecordRuns() as operation):
+                    self.ends.extend(operation.ends)
+                    self.apply(operation)
+
+    def get_wanted(self, guard: str) -> list[RunKey]:
+        """Return what the guard was told last to run."""
+        return [order.key for order in self.orders[guard].wanted]
+
+
+def _create_report(
+    sent_at_s: float,
+    running: tuple[RunKey, ...] = (),
+    ended: tuple[EndedRun, ...] = (),
+    lifetime: str = LIFE,
+    *,
+    is_looked: bool = True,
+) -> RunReport:
+    facts = WorkerFacts(
+        'worker',
+        lifetime,
+        'pool',
+        'north-yard',
+        Resources(4000, 4000),
+        ('a', 'r1-1'),
+    )
+    rows = tuple(
+        RunningRun(key, 'saved', 50, 0, is_known=True) for key in running
+    )
+    return RunReport(
+        sent_at_s,
+        1,
+        facts,
+        rows,
+        ended,
+        (),
+        is_looked,
+        is_answering=True,
+        is_lapsed=False,
+        unsure_for_s=0,
+    )
+
+
+FIRST = RunKey(f'{WORKFLOW_ID}.0.0.0', 1)
+SECOND = RunKey(f'{WORKFLOW_ID}.0.1.0', 1)
+
+
+def test_steps_follow_each_other() -> None:
+    """The second step starts once the first is recorded as done."""
+    group = Group()
+    group.report(_create_report(0.1), GUARD, 0.1)
+    assert group.get_wanted(GUARD) == [FIRST]
+    ended = EndedRun(1, FIRST, 'done', '')
+    group.report(_create_report(0.2, (), (ended,)), GUARD, 0.2)
+    assert group.get_wanted(GUARD) == [SECOND]
+    assert group.orders[GUARD].settled_number == 1
+    last = EndedRun(2, SECOND, 'done', '')
+    group.report(_create_report(0.3, (), (ended, last)), GUARD, 0.3)
+    workflow = group.tables.workflows[WORKFLOW_ID]
+    assert workflow.status is WorkflowStatus.completed
+
+
+def test_new_life_frees_only_what_it_does_not_run() -> None:
+    """A run that reached the new life of a worker is not placed again."""
+    group = Group()
+    group.report(_create_report(0.1), GUARD, 0.1)
+    unlooked = _create_report(1, (), (), NEXT_LIFE, is_looked=False)
+    group.report(unlooked, GUARD, 1)
+    assert not group.ends
+    group.report(_create_report(1.1, (FIRST,), (), NEXT_LIFE), GUARD, 1.1)
+    assert not group.ends
+    group.report(_create_report(1.2, (), (), NEXT_LIFE), GUARD, 1.2)
+    assert [end.kind for end in group.ends] == [RunEndKind.lost]
+
+
+def test_silent_worker_is_freed_after_its_lease() -> None:
+    """A run moves on once its lease is surely over, not before."""
+    group = Group()
+    group.report(_create_report(0.1), GUARD, 0.1)
+    group.report(_create_report(2, (FIRST,)), GUARD, 2)
+    group.report(_create_report(0.1), OTHER_GUARD, 7.9)
+    assert not group.ends
+    group.report(_create_report(0.9), OTHER_GUARD, 8.5)
+    group.tick(8.6)
+    assert group.ends == [RunEnd(*_split(FIRST), RunEndKind.lost, 'saved')]
+    assert group.get_wanted(OTHER_GUARD) == [RunKey(FIRST.task_id, 2)]
+
+
+def _split(key: RunKey) -> tuple[str, int]:
+    return (key.task_id, key.run)
+
+
+def test_cancelled_run_is_to_be_stopped() -> None:
+    """The guard is told to make sure that a cancelled run is absent."""
+    group = Group()
+    group.report(_create_report(0.1), GUARD, 0.1)
+    group.apply(CancelWorkflow(WORKFLOW_ID, 'host', PATH))
+    group.tick(0.3)
+    assert not group.get_wanted(GUARD)
+    assert group.orders[GUARD].stops == (FIRST,)
+
+
+def test_failures_use_up_the_attempts() -> None:
+    """A task that failed as often as allowed fails its workflow."""
+    group = Group()
+    group.report(_create_report(0.1), GUARD, 0.1)
+    failed = EndedRun(1, FIRST, 'failed', '')
+    group.report(_create_report(0.2, (), (failed,)), GUARD, 0.2)
+    again = EndedRun(2, RunKey(FIRST.task_id, 2), 'failed', '')
+    group.report(_create_report(0.3, (), (failed, again)), GUARD, 0.3)
+    workflow = group.tables.workflows[WORKFLOW_ID]
+    assert workflow.status is WorkflowStatus.failed
+    assert not group.get_wanted(GUARD)
--- a/cumintack/coordination/runs/worker_runs.py
+++ b/cumintack/coordination/runs/worker_runs.py
@@ -144,6 +144,8 @@
         progress: Calls for runs.
         look: The latest look in this life.
         unsure_until_s: Until when a lease without an answer may take effect.
+        former_calls: Calls to a former life that are still on their way and
+            may reach this one.
         pace: The pace of filling tasks.
     """
 
@@ -161,6 +163,7 @@
     progress: dict[RunKey, RunProgress] = {}
     look: Look | None = None
     unsure_until_s: float = float('-inf')
+    former_calls: int = 0
     pace: PaceState = msgspec.field(default_factory=PaceState)
 
 
@@ -184,6 +187,9 @@
 
 
 def _begin_life(runs: WorkerRuns, now_s: float) -> None:
+    runs.former_calls += sum(
+        progress.is_in_flight for progress in runs.progress.values()
+    )
     runs.is_gone = False
     runs.heard_at_s = now_s
     runs.settled_number = 0
@@ -272,8 +278,9 @@
     if runs.facts is None:
         return False
     if look.lifetime != runs.facts.lifetime:
-        runs.is_gone = True
-        return True
+        is_later = look.lifetime > runs.facts.lifetime
+        runs.is_gone = runs.is_gone or is_later
+        return is_later
     known = runs.look
     if known is not None and look.sent_at_s < known.sent_at_s:
         return False
@@ -388,6 +395,17 @@
     calls.append(StartRun(key, details, runs.term, runs.grant_until_s))
 
 
+def take_former_answer(runs: WorkerRuns, call: WorkerCall) -> None:
+    """Take note that a call to a former life of the worker is over.
+
+    Args:
+        runs: The runs of the worker.
+        call: The call.
+    """
+    if not isinstance(call, PaceRun):
+        runs.former_calls = max(0, runs.former_calls - 1)
+
+
 def take_answer(
     runs: WorkerRuns,
     call: WorkerCall,
@@ -518,10 +536,11 @@
         now_s: The time.
 
     Returns:
-        The report, or None while no worker is known.
+        The report; None while no worker is known, or while a call meant for
+        a former life may still start something in this one.
     """
     facts = runs.facts
-    if facts is None:
+    if facts is None or runs.former_calls:
         return None
     look = runs.look
     running: tuple[RunningRun, ...] = ()
--- /dev/null
+++ b/cumintack/coordination/runs/worker_runs_test.py
@@ -0,0 +1,207 @@
+"""A guard makes its worker run what is wanted, and never claims too much."""
+
+from cumintack.coordination.runs.worker_runs import (
+    CallAnswer,
+    Look,
+    StartRun,
+    StopRun,
+    WorkerRuns,
+    create_report,
+    is_lapsed,
+    list_calls,
+    take_answer,
+    take_facts,
+    take_former_answer,
+    take_look,
+    take_orders,
+)
+from cumintack.protocol.run_messages import (
+    EndedRun,
+    RunDetails,
+    RunKey,
+    RunningRun,
+    RunOrder,
+    RunOrders,
+    WorkerFacts,
+)
+from cumintack.state.resources import Resources
+
+KEY = RunKey('0123456789abcdef.0.0.1', 1)
+OLD_LIFE = '000001.worker'
+NEW_LIFE = '000002.worker'
+LEASE_S = 6.0
+
+
+def _create_facts(
+    lifetime: str = OLD_LIFE,
+    *,
+    is_draining: bool = False,
+) -> WorkerFacts:
+    return WorkerFacts(
+        'worker',
+        lifetime,
+        'pool',
+        'north-yard',
+        Resources(32000, 128000),
+        ('a', 'r1-1'),
+        is_draining,
+    )
+
+
+def _create_orders(
+    number: int,
+    wanted: tuple[RunKey, ...] = (),
+    stops: tuple[RunKey, ...] = (),
+    lifetime: str = OLD_LIFE,
+    term: int = 1,
+) -> RunOrders:
+    return RunOrders(
+        term,
+        number,
+        lifetime,
+        0,
+        LEASE_S,
+        0,
+        tuple(RunOrder(key, RunDetails('text')) for key in wanted),
+        stops,
+    )
+
+
+def _create_look(
+    sent_at_s: float,
+    running: tuple[RunKey, ...] = (),
+    ended: tuple[EndedRun, ...] = (),
+    lifetime: str = OLD_LIFE,
+) -> Look:
+    rows = tuple(RunningRun(key, '', 10, 0, is_known=False) for key in running)
+    return Look(sent_at_s, sent_at_s, lifetime, rows, ended)
+
+
+def _create_runs(*wanted: RunKey) -> WorkerRuns:
+    runs = WorkerRuns(0)
+    take_facts(runs, _create_facts(), 0)
+    take_orders(runs, _create_orders(1, wanted), 0)
+    take_look(runs, _create_look(0))
+    return runs
+
+
+def _answer(
+    at_s: float,
+    *,
+    is_answered: bool = True,
+    is_done: bool = True,
+    reason: str = '',
+) -> CallAnswer:
+    return CallAnswer(is_answered, is_done, reason, at_s, at_s)
+
+
+def test_wanted_run_is_started_once() -> None:
+    """A call that is on its way is not made again."""
+    runs = _create_runs(KEY)
+    calls = list_calls(runs, 0.1)
+    assert [type(call) for call in calls] == [StartRun]
+    assert not list_calls(runs, 0.2)
+
+
+def test_unwanted_run_is_stopped() -> None:
+    """What runs without being wanted is stopped."""
+    runs = _create_runs()
+    take_look(runs, _create_look(0.1, (KEY,)))
+    assert list_calls(runs, 0.2) == [StopRun(KEY, 1)]
+
+
+def test_unanswered_start_is_not_absent() -> None:
+    """After a start without an answer, only a confirmed stop is enough."""
+    runs = _create_runs(KEY)
+    start = list_calls(runs, 0.1)[0]
+    take_answer(runs, start, _answer(1.1, is_answered=False, is_done=False))
+    take_orders(runs, _create_orders(2, (), (KEY,)), 1.2)
+    take_look(runs, _create_look(1.2))
+    report = create_report(runs, 1.3)
+    assert report is not None
+    assert not report.closed
+    assert report.unsure_for_s > LEASE_S
+    stop = list_calls(runs, 2)[0]
+    assert isinstance(stop, StopRun)
+    take_answer(runs, stop, _answer(2.1))
+    take_look(runs, _create_look(2.2))
+    report = create_report(runs, 2.3)
+    assert report is not None
+    assert [run.key for run in report.closed] == [KEY]
+    assert not report.unsure_for_s
+
+
+def test_refusal_after_an_unanswered_start_needs_a_stop() -> None:
+    """The first start may still arrive, whatever the second was told."""
+    runs = _create_runs(KEY)
+    start = list_calls(runs, 0.1)[0]
+    take_answer(runs, start, _answer(1.1, is_answered=False, is_done=False))
+    again = list_calls(runs, 2)[0]
+    take_answer(runs, again, _answer(2.1, is_done=False, reason='room'))
+    report = create_report(runs, 2.2)
+    assert report is not None
+    assert not report.closed
+    assert list_calls(runs, 2.3) == [StopRun(KEY, 1)]
+
+
+def test_plain_refusal_closes() -> None:
+    """A worker that refused the only start never runs it."""
+    runs = _create_runs(KEY)
+    start = list_calls(runs, 0.1)[0]
+    take_answer(runs, start, _answer(0.2, is_done=False, reason='room'))
+    report = create_report(runs, 0.3)
+    assert report is not None
+    assert [run.reason for run in report.closed] == ['room']
+
+
+def test_draining_worker_starts_nothing() -> None:
+    """A run ordered before the guard heard of the drain is not started."""
+    runs = _create_runs(KEY)
+    take_facts(runs, _create_facts(is_draining=True), 0.1)
+    assert not list_calls(runs, 0.2)
+    report = create_report(runs, 0.3)
+    assert report is not None
+    assert [run.key for run in report.closed] == [KEY]
+
+
+def test_call_for_a_former_life_holds_the_report_back() -> None:
+    """A start on its way may reach the worker that came back.
+
+    The bench showed it: a worker was started afresh under its old
+    identifier, took a start meant for its former life, and the task was
+    placed again at once.
+    """
+    runs = _create_runs(KEY)
+    start = list_calls(runs, 0.1)[0]
+    take_facts(runs, _create_facts(NEW_LIFE), 0.2)
+    assert create_report(runs, 0.3) is None
+    take_former_answer(runs, start)
+    report = create_report(runs, 0.4)
+    assert report is not None
+    assert not report.is_looked
+
+
+def test_late_look_of_a_former_life_changes_nothing() -> None:
+    """A look answered before a restart does not end the new life."""
+    runs = _create_runs(KEY)
+    take_facts(runs, _create_facts(NEW_LIFE), 1)
+    take_look(runs, _create_look(0.9, (KEY,)))
+    assert not is_lapsed(runs, 1.1)
+    take_look(runs, _create_look(1.2, lifetime='000003.worker'))
+    assert is_lapsed(runs, 1.3)
+
+
+def test_orders_of_a_former_leader_are_dropped() -> None:
+    """A term that was followed is never left for an earlier one."""
+    runs = _create_runs()
+    assert take_orders(runs, _create_orders(1, (KEY,), term=3), 0.1)
+    assert not take_orders(runs, _create_orders(9, (), term=2), 0.2)
+    assert KEY in runs.wanted
+
+
+def test_lapsed_only_after_every_bound() -> None:
+    """A silent worker counts as empty once no lease can run any more."""
+    runs = _create_runs(KEY)
+    list_calls(runs, 0.1)
+    assert not is_lapsed(runs, LEASE_S - 0.1)
+    assert is_lapsed(runs, LEASE_S + 0.2)
--- a/cumintack/daemon/workflow_desk.py
+++ b/cumintack/daemon/workflow_desk.py
@@ -15,6 +15,7 @@
     handle_unproposed_runs,
 )
 from cumintack.daemon.node import Node
+from cumintack.daemon.workflow_log import log_operation
 from cumintack.protocol.run_messages import (
     QueueConfigurationQuery,
     RunReport,
@@ -84,6 +85,7 @@
     def follow(self, tables: WorkflowTables, operation: object) -> None:
         """Follow an operation that was applied."""
         if self._lead is not None:
+            log_operation(tables, operation)
             follow_applied(self._lead, tables, operation)
 
     def handle_unproposed(self, operation: object) -> None:
--- a/cumintack/daemon/workflow_guard_part.py
+++ b/cumintack/daemon/workflow_guard_part.py
@@ -22,6 +22,7 @@
     take_answer,
     take_end_of_life,
     take_facts,
+    take_former_answer,
     take_look,
     take_lost_grant,
     take_orders,
@@ -38,12 +39,15 @@
 MAX_ANNOUNCEMENT_BYTES = 65536
 # Seconds between two looks while there is nothing to look at.
 IDLE_LOOK_S = 0.25
+# Seconds between two looks while ends wait to be recorded.
+UNSETTLED_LOOK_S = 0.04
 # Seconds until a look is tried again after the worker gave no answer.
 FAILED_LOOK_S = 0.2
 # Seconds that a lease must gain for a call that extends it.
 GRANT_GAIN_S = 1.0
 
 logger = structlog.get_logger()
+FactsAndCall = tuple[WorkerFacts, WorkerCall]
 
 
 class WorkerClient(Protocol):
@@ -103,7 +107,7 @@
         self._extended_until_s = 0.0
         self._is_closing = False
         self._wake = threading.Event()
-        self._calls: queue.SimpleQueue[WorkerCall] = queue.SimpleQueue()
+        self._calls: queue.SimpleQueue[FactsAndCall] = queue.SimpleQueue()
         self._server: HttpServer | None = None
         threading.Thread(target=self._look_always, daemon=True).start()
         for _ in range(settings.call_threads):
@@ -156,15 +160,15 @@
         return True
 
     def _make_calls(self, now_s: float) -> None:
+        facts = self._runs.facts
+        if facts is None:
+            return
         for call in list_calls(self._runs, now_s):
-            self._calls.put(call)
+            self._calls.put((facts, call))
 
     def _call_always(self) -> None:
         while not self._is_closing:
-            call = self._calls.get()
-            facts = self._runs.facts
-            if facts is None:
-                continue
+            facts, call = self._calls.get()
             answer = self._client.perform(facts, call)
             self._post_answer(call, answer, facts.lifetime)
 
@@ -193,10 +197,12 @@
             reason=answer.reason,
         )
         facts = self._runs.facts
-        if facts is not None and facts.lifetime == lifetime:
-            take_answer(self._runs, call, answer)
-            if answer.reason:
-                self._report(self._node.clock.now_s())
+        if facts is None or facts.lifetime != lifetime:
+            take_former_answer(self._runs, call)
+            return
+        take_answer(self._runs, call, answer)
+        if answer.reason:
+            self._report(self._node.clock.now_s())
 
     def _look_always(self) -> None:
         while not self._is_closing:
@@ -226,7 +232,11 @@
         self._extend(facts)
         if not is_busy:
             self._wake.wait(IDLE_LOOK_S)
-            self._wake.clear()
+        elif outcome.ok_value.ended:
+            # The worker answers at once while it lists ends; they stay
+            # listed until the leader has recorded them.
+            self._wake.wait(UNSETTLED_LOOK_S)
+        self._wake.clear()
 
     def _extend(self, facts: WorkerFacts) -> None:
         runs = self._runs
--- /dev/null
+++ b/cumintack/daemon/workflow_log.py
@@ -0,0 +1,97 @@
+"""Log lines of the leader: one for each decision on a workflow or a run."""
+
+import structlog
+
+from cumintack.coordination.runs.ordering import compute_objective_ms
+from cumintack.state.workflows import (
+    AcceptWorkflow,
+    CancelWorkflow,
+    RecordRuns,
+    ReplaceQueues,
+    StepSpec,
+    WorkflowTables,
+)
+
+logger = structlog.get_logger()
+
+
+def log_operation(tables: WorkflowTables, operation: object) -> None:
+    """Log an operation that was applied.
+
+    Args:
+        tables: The workflows after it.
+        operation: The operation.
+    """
+    match operation:
+        case AcceptWorkflow():
+            _log_accepted(tables, operation)
+        case CancelWorkflow():
+            logger.info('control: cancelled', workflow=operation.workflow_id)
+        case ReplaceQueues():
+            logger.info(
+                'control: queues replaced',
+                asked=operation.configuration.version,
+                in_force=tables.configuration.version,
+            )
+        case RecordRuns():
+            _log_runs(tables, operation)
+
+
+def _log_accepted(tables: WorkflowTables, operation: AcceptWorkflow) -> None:
+    workflow = tables.workflows.get(operation.workflow_id)
+    if workflow is None:
+        logger.info(
+            'control: refused',
+            workflow=operation.workflow_id,
+            path=operation.path,
+            version=tables.configuration.version,
+        )
+        return
+    logger.info(
+        'control: accepted',
+        workflow=operation.workflow_id,
+        queue=workflow.queue.name,
+        version=tables.configuration.version,
+        objective_ms=int(compute_objective_ms(workflow)),
+        steps=[_render_step(step) for step in workflow.spec.steps],
+    )
+
+
+def _render_step(step: StepSpec) -> str:
+    kind = 'lasting' if step.is_lasting else ''
+    kind = 'filling' if step.is_filling else kind
+    return (
+        f'{step.task_count}x{step.need.cores_milli}m/{step.need.memory_mb}MB'
+        f' {step.estimate_ms}ms {step.image} {kind}'
+        f' target={step.target_ms} apart={step.max_per_worker}'
+        f' after={list(step.depends_on)} saves={step.is_checkpointed}'
+    )
+
+
+def _log_runs(tables: WorkflowTables, operation: RecordRuns) -> None:
+    for start in operation.starts:
+        logger.info(
+            'control: placed',
+            task=start.task_id,
+            run=start.run,
+            guard=start.guard,
+            lifetime=start.lifetime,
+        )
+    for end in operation.ends:
+        logger.info(
+            'control: ended',
+            task=end.task_id,
+            run=end.run,
+            kind=end.kind.value,
+            checkpoint=end.checkpoint,
+        )
+    ended = {over.task_id.partition('.')[0] for over in operation.ends}
+    for workflow_id in ended:
+        workflow = tables.workflows.get(workflow_id)
+        if workflow is not None and workflow.ended_at_ms:
+            logger.info(
+                'control: workflow over',
+                workflow=workflow_id,
+                status=workflow.status.value,
+                took_ms=workflow.ended_at_ms - workflow.accepted_at_ms,
+            )
