Filling tasks go where they disturb nobody, by what pairs of images show

Change: weights by pair learned from reports (decayed least squares), pace by image, placement by the speed to be had, serving tasks of one image together, starved runs that keep their work move.

--- a/cumintack/coordination/runs/leading.py
+++ b/cumintack/coordination/runs/leading.py
@@ -9,7 +9,21 @@
 
 from cumintack.coordination.effects import ProposeOwn, Send
 from cumintack.coordination.runs.evacuation import list_evacuated
-from cumintack.coordination.runs.placing import create_pass, place_waiting
+from cumintack.coordination.runs.neighbours import (
+    list_sights,
+    list_weights,
+)
+from cumintack.coordination.runs.moving import follow_starved
+from cumintack.coordination.runs.placing import (
+    Pass,
+    create_pass,
+    place_waiting,
+)
+from cumintack.coordination.runs.pressure import (
+    PressureModel,
+    fit,
+    take_sight,
+)
 from cumintack.coordination.runs.trust import take_failure, take_success
 from cumintack.coordination.runs.views import (
     WorkerView,
@@ -45,6 +59,8 @@
 PASS_INTERVAL_S = 0.01
 # Seconds between two looks at silent workers and at times that are due.
 SWEEP_INTERVAL_S = 0.1
+# Seconds between two sights of a worker; a figure covers half a second.
+LEARN_INTERVAL_S = 0.4
 # Seconds added to the end of a lease before its runs count as over: clocks
 # of two machines that drift apart by 2% over a lease.
 LEASE_MARGIN_S = 0.3
@@ -82,6 +98,8 @@
         pass_at_s: When the next pass may run.
         sweep_at_s: When silent workers are looked for next.
         informed: Guards that need new orders.
+        pressure: What was learned of pairs of images.
+        starved: Since when filling runs are starved.
     """
 
     settings: RunSettings
@@ -96,6 +114,8 @@
     pass_at_s: float = 0
     sweep_at_s: float = 0
     informed: dict[str, None] = {}
+    pressure: PressureModel = msgspec.field(default_factory=PressureModel)
+    starved: dict[RunKey, float] = {}
 
 
 RunEffect = Send | ProposeOwn
@@ -128,6 +148,7 @@
         view = WorkerView(guard, report.facts, now_s, report.sent_at_s)
         lead.views[guard] = view
     _update_view(view, report, now_s)
+    _learn_pressure(lead, tables, view, now_s)
     lead.is_dirty = True
     lead.informed[guard] = None
     return _propose_ends(lead, tables, ends, now_s)
@@ -152,6 +173,19 @@
     view.ended = report.ended
 
 
+def _learn_pressure(
+    lead: RunLeadership,
+    tables: WorkflowTables,
+    view: WorkerView,
+    now_s: float,
+) -> None:
+    if now_s - view.learned_at_s < LEARN_INTERVAL_S:
+        return
+    view.learned_at_s = now_s
+    for sight in list_sights(tables, view):
+        take_sight(lead.pressure, sight)
+
+
 def _iter_placed(
     tables: WorkflowTables,
     guard: str,
@@ -342,6 +376,8 @@
         effects.extend(_propose_ends(lead, tables, ends, now_s))
         effects.extend(_begin_due(tables, now_ms))
         _evacuate(lead, tables, now_s)
+        fit(lead.pressure)
+        _move_starved(lead, tables, now_s)
         lead.is_dirty = lead.is_dirty or bool(tables.index.waiting)
     if lead.is_dirty and now_s >= lead.pass_at_s:
         lead.pass_at_s = now_s + PASS_INTERVAL_S
@@ -412,14 +448,27 @@
                 lead.informed[guard] = None
 
 
-def _run_pass(
+def _move_starved(
     lead: RunLeadership,
     tables: WorkflowTables,
     now_s: float,
-    now_ms: float,
-) -> list[RunEffect]:
-    if not tables.index.waiting:
-        return []
+) -> None:
+    current = _create_pass(lead, tables, now_s)
+    for key in follow_starved(lead.starved, current):
+        if key in lead.stopping:
+            continue
+        lead.stopping[key] = 'starved beside serving tasks'
+        task = parse_task_id(key.task_id)
+        record = get_task(tables, task) if task else None
+        if record is not None:
+            lead.informed[record.guard] = None
+
+
+def _create_pass(
+    lead: RunLeadership,
+    tables: WorkflowTables,
+    now_s: float,
+) -> Pass:
     rooms = compute_rooms(tables, lead.views)
     for proposed in lead.proposed_starts.values():
         key = parse_task_id(proposed.task_id)
@@ -427,13 +476,25 @@
             continue
         step = get_step(tables, key.step_key)
         add_task(rooms[proposed.guard], key.step_key, step)
-    current = create_pass(
+    return create_pass(
         tables,
         lead.views,
         rooms,
         set(lead.proposed_starts),
+        lead.pressure,
         now_s,
     )
+
+
+def _run_pass(
+    lead: RunLeadership,
+    tables: WorkflowTables,
+    now_s: float,
+    now_ms: float,
+) -> list[RunEffect]:
+    if not tables.index.waiting:
+        return []
+    current = _create_pass(lead, tables, now_s)
     starts = place_waiting(current, now_ms)
     if not starts:
         return []
@@ -476,6 +537,7 @@
         _get_settled(tables, view),
         tuple(wanted),
         tuple(stops),
+        list_weights(tables, view, lead.pressure),
     )
     return Send(guard, orders)
 
@@ -493,6 +555,8 @@
         '',
         step.is_filling,
         step.target_ms,
+        step.image,
+        step.need.cores_milli,
     )
 
 
--- /dev/null
+++ b/cumintack/coordination/runs/moving.py
@@ -0,0 +1,76 @@
+"""Which starved filling runs go on elsewhere.
+
+Answers filling tasks that stand still for long beside serving tasks which
+they disturb, while other workers have room for them. A run is moved only if
+it keeps its work, and only where it would get most of its speed.
+"""
+
+from cumintack.coordination.runs.placing import Pass, Site, get_speed
+from cumintack.coordination.runs.views import list_runs
+from cumintack.protocol.run_messages import RunKey, RunningRun
+from cumintack.state.workflows import StepSpec
+
+# Share of the wished processor time under which a run is starved.
+STARVED_SHARE = 0.4
+# Seconds of that before it is moved; two figures of half a second agree.
+STARVED_S = 1.2
+# Speed that the other worker must offer.
+LEAST_GAIN_SPEED = 0.85
+# Percent up to which a run without checkpoints loses little by a move.
+LITTLE_PERCENT = 10
+# Moves decided at once, so that what they change is seen before the next.
+MAX_MOVES = 4
+
+
+def follow_starved(
+    since_s: dict[RunKey, float],
+    current: Pass,
+) -> list[RunKey]:
+    """Follow which runs are starved, and choose those to move.
+
+    Args:
+        since_s: Since when each starved run is, changed in place.
+        current: A pass over the open workers.
+
+    Returns:
+        Runs to stop, so that they are placed again.
+    """
+    starved = {key: (site, step) for key, site, step in _list_starved(current)}
+    for known in list(since_s):
+        if known not in starved:
+            since_s.pop(known)
+    moved: list[RunKey] = []
+    for key, (site, step) in starved.items():
+        begun_s = since_s.setdefault(key, current.now_s)
+        is_long = current.now_s - begun_s >= STARVED_S
+        if is_long and len(moved) < MAX_MOVES:
+            if _has_better(current, site, step):
+                moved.append(key)
+    return moved
+
+
+def _list_starved(
+    current: Pass,
+) -> list[tuple[RunKey, Site, StepSpec]]:
+    return [
+        (key, site, step)
+        for site in current.sites.values()
+        for key, step in list_runs(current.tables, site.view)
+        if key in site.view.running
+        and _is_starved(site.view.running[key], step)
+    ]
+
+
+def _is_starved(run: RunningRun, step: StepSpec) -> bool:
+    is_kept = step.is_checkpointed or run.percent <= LITTLE_PERCENT
+    is_movable = step.is_filling and is_kept
+    return is_movable and run.figure < STARVED_SHARE * step.need.cores_milli
+
+
+def _has_better(current: Pass, site: Site, step: StepSpec) -> bool:
+    return any(
+        other.view.facts.pool == site.view.facts.pool
+        and get_speed(current, other, step) >= LEAST_GAIN_SPEED
+        for other in current.sites.values()
+        if other is not site
+    )
--- /dev/null
+++ b/cumintack/coordination/runs/neighbours.py
@@ -0,0 +1,72 @@
+"""Serving and filling tasks side by side, from the view of the leader."""
+
+from cumintack.coordination.runs.pressure import (
+    MILLI,
+    PressureModel,
+    Sight,
+    get_weight,
+)
+from cumintack.coordination.runs.views import WorkerView, list_runs
+from cumintack.protocol.run_messages import PairWeight
+from cumintack.state.workflows import WorkflowTables
+
+# Weights under it are sent as 0: a hundred cores would not fill the room.
+LEAST_WEIGHT = 0.003
+WEIGHT_DIGITS = 3
+
+
+def list_sights(tables: WorkflowTables, view: WorkerView) -> list[Sight]:
+    """List what a report shows of the serving tasks of a worker.
+
+    Args:
+        tables: The workflows.
+        view: The worker with its latest report.
+
+    Returns:
+        One sight for each serving task at work.
+    """
+    cores: dict[str, float] = {}
+    serving = []
+    for key, step in list_runs(tables, view):
+        run = view.running.get(key)
+        if run is None:
+            continue
+        if step.is_filling:
+            used = run.figure / MILLI
+            cores[step.image] = cores.get(step.image, 0) + used
+        elif step.target_ms and run.figure:
+            serving.append((step.image, run.figure / step.target_ms))
+    return [Sight(image, share, cores) for image, share in serving]
+
+
+def list_weights(
+    tables: WorkflowTables,
+    view: WorkerView,
+    pressure: PressureModel,
+) -> tuple[PairWeight, ...]:
+    """List what was learned of the pairs on a worker.
+
+    Args:
+        tables: The workflows.
+        view: The worker.
+        pressure: What was learned.
+
+    Returns:
+        The weight of each pair of images placed there.
+    """
+    serving: dict[str, None] = {}
+    filling: dict[str, None] = {}
+    for _key, step in list_runs(tables, view):
+        if step.is_filling:
+            filling[step.image] = None
+        elif step.target_ms:
+            serving[step.image] = None
+    return tuple(
+        PairWeight(left, right, _round(get_weight(pressure, left, right)))
+        for left in serving
+        for right in filling
+    )
+
+
+def _round(weight: float) -> float:
+    return 0 if weight < LEAST_WEIGHT else round(weight, WEIGHT_DIGITS)
--- a/cumintack/coordination/runs/placing.py
+++ b/cumintack/coordination/runs/placing.py
@@ -9,12 +9,19 @@
 import msgspec
 
 from cumintack.coordination.runs.ordering import rank_step
+from cumintack.coordination.runs.pacing import AIM_SHARE, LEAST_PRESSURE
+from cumintack.coordination.runs.pressure import (
+    MILLI,
+    PressureModel,
+    get_weight,
+)
 from cumintack.coordination.runs.trust import is_on_trial
 from cumintack.coordination.runs.views import (
     Room,
     WorkerView,
     add_task,
     compute_free,
+    compute_unused,
     get_rack,
     get_reserved,
     is_open,
@@ -34,9 +41,9 @@
 
 # Starts recorded by one pass, so that one entry of the log stays small.
 MAX_STARTS = 256
-# Share of the wished processor time below which a filling task waits for
-# room: with less it would take more than twice its time.
-LEAST_FILLING_SHARE = 0.5
+# Share of its speed below which a filling task waits for room elsewhere: with
+# less it would be late wherever it started.
+LEAST_SPEED = 0.4
 
 
 class Site(msgspec.Struct):
@@ -53,6 +60,7 @@
         tables: The workflows.
         sites: Workers that take tasks, by guard.
         taken: Tasks whose start is proposed already.
+        pressure: What was learned of pairs of images.
         now_s: The time.
         starts: What was decided.
     """
@@ -60,6 +68,7 @@
     tables: WorkflowTables
     sites: dict[str, Site]
     taken: set[str]
+    pressure: PressureModel
     now_s: float
     starts: list[RunStart] = []
 
@@ -85,6 +94,7 @@
     views: dict[str, WorkerView],
     rooms: dict[str, Room],
     taken: set[str],
+    pressure: PressureModel,
     now_s: float,
 ) -> Pass:
     """Create a pass.
@@ -94,6 +104,7 @@
         views: The workers by guard.
         rooms: What is taken on each of them, changed by the pass.
         taken: Tasks whose start is proposed already.
+        pressure: What was learned of pairs of images.
         now_s: The time.
 
     Returns:
@@ -104,7 +115,7 @@
         for guard, view in views.items()
         if is_open(view, now_s)
     }
-    return Pass(tables, sites, taken, now_s)
+    return Pass(tables, sites, taken, pressure, now_s)
 
 
 def place_waiting(current: Pass, now_ms: float) -> list[RunStart]:
@@ -164,7 +175,10 @@
         return
     rooms = {
         guard: msgspec.structs.replace(
-            site.room, by_step=dict(site.room.by_step)
+            site.room,
+            by_step=dict(site.room.by_step),
+            serving=list(site.room.serving),
+            fresh_cores=dict(site.room.fresh_cores),
         )
         for guard, site in current.sites.items()
     }
@@ -200,7 +214,7 @@
     for site in current.sites.values():
         if not _is_fit(current, site, wish):
             continue
-        score = _score(site, wish)
+        score = _score(current, site, wish)
         if score > best_score:
             best = site
             best_score = score
@@ -219,19 +233,35 @@
     count = site.room.by_step.get(wish.key.step_key, 0)
     if step.max_per_worker and count >= step.max_per_worker:
         return False
-    if step.is_filling and not _has_share(site, step):
+    if step.is_filling and get_speed(current, site, step) < LEAST_SPEED:
         return False
     return _is_trusted(current, site, wish)
 
 
-def _has_share(site: Site, step: StepSpec) -> bool:
-    wished = step.need.cores_milli * LEAST_FILLING_SHARE
-    return _get_unused(site) >= wished
+def get_speed(current: Pass, site: Site, step: StepSpec) -> float:
+    """Estimate at what share of its speed a filling task would work.
 
+    Args:
+        current: The pass.
+        site: The worker.
+        step: What was asked for.
 
-def _get_unused(site: Site) -> int:
-    free = compute_free(site.view, site.room)
-    return free.cores_milli - site.room.filling_milli
+    Returns:
+        1 for its full speed, 0 or less if it would stand still.
+    """
+    cores = step.need.cores_milli / MILLI
+    unused = compute_unused(site.view, site.room) / MILLI
+    speed = min(1, unused / cores) if cores else 1
+    for image, share in site.room.serving:
+        weight = get_weight(current.pressure, image, step.image)
+        pressure = weight * cores
+        if pressure < LEAST_PRESSURE:
+            continue
+        room = AIM_SHARE - share
+        for fresh, fresh_cores in site.room.fresh_cores.items():
+            room -= get_weight(current.pressure, image, fresh) * fresh_cores
+        speed = min(speed, room / pressure)
+    return speed
 
 
 def _is_trusted(current: Pass, site: Site, wish: Wish) -> bool:
@@ -248,19 +278,22 @@
 
 # Weights of the reasons to prefer a worker; a higher one decides alone.
 WEIGHT_DATA_RACK = 1e9
-WEIGHT_APART = 1e7
+WEIGHT_OTHER = 2e7
+WEIGHT_SAME = 1e7
+WEIGHT_SPEED = 1e6
 
 
-def _score(site: Site, wish: Wish) -> float:
+def _score(current: Pass, site: Site, wish: Wish) -> float:
     step = wish.step
-    score = float(_get_unused(site))
+    score = compute_unused(site.view, site.room)
     if step.data_rack and step.data_rack == get_rack(site.view.facts):
         score += WEIGHT_DATA_RACK
     if step.is_filling:
-        score -= WEIGHT_APART * bool(site.room.serving_count)
+        score += WEIGHT_SPEED * get_speed(current, site, step)
     if step.target_ms:
-        score -= WEIGHT_APART * bool(site.room.filling_milli)
-    if step.is_lasting:
-        count = site.room.by_step.get(wish.key.step_key, 0)
-        score -= WEIGHT_APART * count
+        # Serving tasks of one image together leave other workers to the
+        # filling images that disturb just this one.
+        for image, _share in site.room.serving:
+            is_same = image == step.image
+            score += WEIGHT_SAME if is_same else -WEIGHT_OTHER
     return score
--- a/cumintack/coordination/runs/views.py
+++ b/cumintack/coordination/runs/views.py
@@ -19,11 +19,17 @@
     StepSpec,
     WorkflowTables,
     get_step,
+    get_task,
 )
 
 # Seconds without a report after which nothing is placed on a worker; two
 # reports that were due, with room for a link that is dialled anew.
 UNHEARD_AFTER_S = 1.5
+# Share of what serving tasks reserve that they use, with their swings.
+SERVING_SHARE = 0.6
+# Latency share assumed of a serving task that is not at work yet.
+UNSEEN_SHARE = 0.4
+MILLI = 1000
 # Start of the label that names a rack.
 RACK_MARK = 'r'
 
@@ -45,6 +51,7 @@
         shunned_until_s: Until when nothing new is placed there.
         failures: Times of recent failures.
         tried_at_s: When a task was last placed there after failures.
+        learned_at_s: When its tail latencies were last learned from.
     """
 
     guard: str
@@ -60,6 +67,7 @@
     shunned_until_s: float = float('-inf')
     failures: list[float] = []
     tried_at_s: float = float('-inf')
+    learned_at_s: float = float('-inf')
 
 
 class Room(msgspec.Struct):
@@ -68,13 +76,19 @@
     Attributes:
         reserved: Resources that the worker counts against what it holds.
         filling_milli: Processor share that filling tasks would like.
-        serving_count: Tasks with a target for their tail latency.
+        serving_milli: Processor share that serving tasks reserved.
+        serving: Latency of each serving task as a share of its target,
+            with its image.
+        fresh_cores: Processor time of filling tasks that the latencies do
+            not show yet, by image.
         by_step: Tasks of each step.
     """
 
     reserved: Resources = ZERO_RESOURCES
     filling_milli: int = 0
-    serving_count: int = 0
+    serving_milli: int = 0
+    serving: list[tuple[str, float]] = []
+    fresh_cores: dict[str, float] = {}
     by_step: dict[StepKey, int] = {}
 
 
@@ -107,21 +121,56 @@
     return step.need
 
 
-def add_task(room: Room, key: StepKey, step: StepSpec) -> None:
+def add_task(
+    room: Room,
+    key: StepKey,
+    step: StepSpec,
+    run: RunningRun | None = None,
+) -> None:
     """Count a task into a room.
 
     Args:
         room: The room, changed in place.
         key: Its step.
         step: What was asked for.
+        run: What the worker shows of it, None if nothing yet.
     """
     room.reserved = compute_sum(room.reserved, get_reserved(step))
     if step.is_filling:
         room.filling_milli += step.need.cores_milli
-    room.serving_count += bool(step.target_ms)
+        if run is None:
+            cores = step.need.cores_milli / MILLI
+            known = room.fresh_cores.get(step.image, 0)
+            room.fresh_cores[step.image] = known + cores
+    if step.target_ms:
+        share = run.figure / step.target_ms if run else UNSEEN_SHARE
+        room.serving.append((step.image, share))
+        room.serving_milli += step.need.cores_milli
     room.by_step[key] = room.by_step.get(key, 0) + 1
 
 
+def list_runs(
+    tables: WorkflowTables,
+    view: WorkerView,
+) -> list[tuple[RunKey, StepSpec]]:
+    """List the recorded runs of a worker.
+
+    Args:
+        tables: The workflows.
+        view: The worker.
+
+    Returns:
+        Each run with what was asked for.
+    """
+    found = []
+    for task_id, key in tables.index.placed.get(view.guard, {}).items():
+        record = get_task(tables, key)
+        if record is not None:
+            step = get_step(tables, key.step_key)
+            found.append((RunKey(task_id, record.run), step))
+    return found
+
+
 def compute_rooms(
     tables: WorkflowTables,
     views: dict[str, WorkerView],
@@ -136,10 +185,14 @@
         The room of each worker by guard.
     """
     rooms: dict[str, Room] = {}
-    for guard in views:
+    for guard, view in views.items():
         room = Room()
-        for key in tables.index.placed.get(guard, {}).values():
-            add_task(room, key.step_key, get_step(tables, key.step_key))
+        for task_id, key in tables.index.placed.get(guard, {}).items():
+            record = get_task(tables, key)
+            run_number = record.run if record else 0
+            run = view.running.get(RunKey(task_id, run_number))
+            step = get_step(tables, key.step_key)
+            add_task(room, key.step_key, step, run)
         rooms[guard] = room
     return rooms
 
@@ -157,6 +210,21 @@
     return compute_difference(view.facts.holds, room.reserved)
 
 
+def compute_unused(view: WorkerView, room: Room) -> float:
+    """Compute the processor time that filling tasks could still get.
+
+    Args:
+        view: The worker.
+        room: What is taken on it.
+
+    Returns:
+        Milli-cores, maybe negative.
+    """
+    free = compute_free(view, room)
+    idle = room.serving_milli * (1 - SERVING_SHARE)
+    return free.cores_milli + idle - room.filling_milli
+
+
 def is_open(view: WorkerView, now_s: float) -> bool:
     """Tell whether new tasks may go to a worker.
 
--- a/cumintack/coordination/runs/worker_runs.py
+++ b/cumintack/coordination/runs/worker_runs.py
@@ -12,6 +12,7 @@
     PaceState,
     compute_paces,
     follow_figures,
+    take_weights,
 )
 from cumintack.protocol.run_messages import (
     ClosedRun,
@@ -238,6 +239,7 @@
     runs.settled_number = max(runs.settled_number, orders.settled_number)
     runs.wanted = {order.key: None for order in orders.wanted}
     runs.stops = dict.fromkeys(orders.stops)
+    take_weights(runs.pace, orders.weights)
     for order in orders.wanted:
         if order.details is not None:
             runs.details.setdefault(order.key, order.details)
--- a/cumintack/protocol/run_messages.py
+++ b/cumintack/protocol/run_messages.py
@@ -40,6 +40,8 @@
         ticket: Leave of the outside adviser, empty for none.
         is_filling: Whether it takes what other tasks leave unused.
         target_ms: Tail latency that it must stay below, 0 for none.
+        image: What it runs; runs of one image behave alike.
+        need_milli: Processor share that it asked for.
     """
 
     program: str
@@ -47,6 +49,22 @@
     ticket: str = ''
     is_filling: bool = False
     target_ms: int = 0
+    image: str = ''
+    need_milli: int = 0
+
+
+class PairWeight(msgspec.Struct, frozen=True, array_like=True):
+    """How much a filling image slows a serving one.
+
+    Attributes:
+        serving: The serving image.
+        filling: The filling image.
+        weight: Share of the latency target that one core takes.
+    """
+
+    serving: str
+    filling: str
+    weight: float
 
 
 class RunOrders(msgspec.Struct, frozen=True, tag=True):
@@ -62,6 +80,7 @@
         settled_number: Ends up to this number are recorded.
         wanted: Every run that should be there.
         stops: Runs whose absence the guard has to make sure of.
+        weights: What was learned of the pairs of images on the worker.
     """
 
     term: int
@@ -72,6 +91,7 @@
     settled_number: int
     wanted: tuple[RunOrder, ...]
     stops: tuple[RunKey, ...]
+    weights: tuple[PairWeight, ...] = ()
 
 
 class RunningRun(msgspec.Struct, frozen=True, array_like=True):
