Tests of the adapter, workflows against an oracle; idle loops wake less

Cause: the adapter and the transitions of workflows had no tests without the bench; idle loops woke 20 times a second for nothing, and a pass that was due waited for the next wake-up. Change: a stand-in of a worker, tests of bodies and refusals, a stateful machine against an oracle; the loop of a leader does not idle while a pass or orders are due.

--- a/cumintack/daemon/control_part.py
+++ b/cumintack/daemon/control_part.py
@@ -641,8 +641,8 @@
         """Do nothing: a leader's silence hands leadership over."""
 
     def is_idle(self) -> bool:
-        """Return whether no command waits for its outcome."""
-        return not self._waiters
+        """Return whether nothing waits for an outcome or for a pass."""
+        return not (self._waiters or self._workflows.is_waiting())
 
     def close(self) -> None:
         """Close the data folder."""
--- a/cumintack/daemon/node.py
+++ b/cumintack/daemon/node.py
@@ -55,7 +55,9 @@
 from cumintack.transport.metrics import Metrics
 
 LOOP_WAIT_S = 0.01
-IDLE_WAIT_S = 0.05
+# Anything that arrives wakes the loop; only probes and heartbeats are paced
+# by it, and the shortest of these is due every 0.1 s.
+IDLE_WAIT_S = 0.1
 STATUS_INTERVAL_S = 0.5
 FLUSH_INTERVAL_S = 1.0
 GOODBYE_LINGER_S = 0.5
--- a/cumintack/daemon/workflow_desk.py
+++ b/cumintack/daemon/workflow_desk.py
@@ -100,6 +100,11 @@
         now_ms = get_wall_ms(self._node.clock)
         return handle_run_tick(self._lead, tables, now_s, now_ms)
 
+    def is_waiting(self) -> bool:
+        """Return whether a pass or orders are to follow at once."""
+        lead = self._lead
+        return lead is not None and (lead.is_dirty or bool(lead.informed))
+
     def ask(
         self,
         peer: str,
--- /dev/null
+++ b/cumintack/platform/job_calls_test.py
@@ -0,0 +1,211 @@
+"""Bodies and answers of the calls of requesters and of the operator."""
+
+import json
+
+import pytest
+
+from cumintack.platform.job_calls import JobCalls, decode_job
+from cumintack.platform.operator_calls import decode_configuration
+from cumintack.protocol.run_messages import WorkflowQuery, WorkflowReply
+from cumintack.state.commands import Operation
+from cumintack.state.errors import ErrorCode, StepError
+from cumintack.state.queues import QueueConfiguration
+from cumintack.state.workflows import (
+    AcceptWorkflow,
+    CancelWorkflow,
+    Schedule,
+    WorkflowSpec,
+)
+from cumintack.transport.http_server import HttpRequest, HttpResponse
+
+JOB_ID = '5c0e7a21d94b36f8'
+PATH = f'/lohu930/{JOB_ID}'
+JOB = {
+    'spec': 'text',
+    'steps': [
+        {'count': 4, 'cpu': 500, 'mem_mb': 256, 'est_runtime_ms': 900},
+        {'count': 2, 'cpu': 100, 'depends_on': [0], 'fills': True},
+    ],
+}
+ROUTE = {
+    'name': 'r-1',
+    'host': 'nony24.example',
+    'path_prefix': '/lohu930/',
+    'kind': 'unsafe',
+    'timeout_ms': 3000,
+    'slo_ms': 300,
+    'priority': 0,
+    'service': 'huvo11a',
+    'attempts': 3,
+    'stretch': 1.5,
+}
+CONFIGURATION = {
+    'version': 7,
+    'routes': [ROUTE],
+    'services': [{'name': 'huvo11a', 'enforce_capacity': True}],
+    'limits': {'max_body_bytes': 262144},
+}
+
+
+class Gate:
+    """Answers everything with what it was given."""
+
+    def __init__(self, error: StepError | None = None) -> None:
+        """Answer with an error, or do what is asked."""
+        self.error = error
+        self.operations: list[Operation] = []
+        self.stopping = False
+
+    def submit(
+        self,
+        operation: Operation,
+        timeout_s: float,
+    ) -> StepError | None:
+        """Take an operation."""
+        self.operations.append(operation)
+        return self.error
+
+    def ask(self, query: WorkflowQuery, timeout_s: float) -> WorkflowReply:
+        """Answer a question."""
+        return WorkflowReply(0, 'running', 12, error=self.error)
+
+    def is_ready(self) -> bool:
+        """Return whether callers should come here."""
+        return not self.stopping
+
+    def is_stopping(self) -> bool:
+        """Return whether connections should go elsewhere."""
+        return self.stopping
+
+
+def _send(
+    gate: Gate,
+    method: str,
+    path: str = PATH,
+    body: object = None,
+) -> HttpResponse:
+    request = HttpRequest(
+        method,
+        path,
+        '',
+        {'host': 'nony24.example', 'x-deadline-ms': '3000'},
+        json.dumps(body).encode() if body else b'',
+    )
+    return JobCalls(gate).respond(request)
+
+
+def _refuse(code: ErrorCode) -> Gate:
+    return Gate(StepError(code, 'test'))
+
+
+def test_job_is_accepted() -> None:
+    """A job arrives as a workflow under the identifier of the caller."""
+    gate = Gate()
+    assert _send(gate, 'POST', body=JOB).status == 200
+    operation = gate.operations[0]
+    assert isinstance(operation, AcceptWorkflow)
+    assert operation.workflow_id == JOB_ID
+    assert [step.task_count for step in operation.spec.steps] == [4, 2]
+    assert operation.spec.steps[1].is_filling
+
+
+@pytest.mark.parametrize(
+    ('code', 'status'),
+    [
+        (ErrorCode.not_found, 404),
+        (ErrorCode.unavailable, 503),
+        (ErrorCode.timeout, 504),
+    ],
+)
+def test_refusals_of_jobs(code: ErrorCode, status: int) -> None:
+    """Only what surely did not run is said not to have run."""
+    response = _send(_refuse(code), 'POST', body=JOB)
+    assert response.status == status
+    names = {header.name for header in response.headers}
+    assert ('Retry-After' in names) == (status == 503)
+
+
+def test_other_calls() -> None:
+    """State, count and cancel."""
+    assert json.loads(_send(Gate(), 'GET').body) == {'state': 'running'}
+    counted = _send(Gate(), 'GET', '/lohu930/')
+    assert json.loads(counted.body) == {'pending': 12}
+    gate = Gate()
+    assert _send(gate, 'DELETE').status == 200
+    assert isinstance(gate.operations[0], CancelWorkflow)
+    assert _send(_refuse(ErrorCode.not_found), 'DELETE').status == 410
+    assert _send(_refuse(ErrorCode.expired), 'GET').status == 410
+    assert _send(_refuse(ErrorCode.not_found), 'GET', '/x/').status == 404
+
+
+def test_stopping_entry_sends_connections_away() -> None:
+    """While stopping, every answer closes its connection."""
+    gate = Gate()
+    gate.stopping = True
+    response = _send(gate, 'GET')
+    assert response.status == 200
+    assert ('Connection', 'close') in [
+        (header.name, header.text) for header in response.headers
+    ]
+
+
+def test_times_of_a_job() -> None:
+    """A repeated job carries its times."""
+    body = {
+        **JOB,
+        'repeat_count': 3,
+        'initial_delay_ms': 1700000000000,
+        'interval_ms': 5000,
+    }
+    spec = decode_job(json.dumps(body).encode())
+    assert isinstance(spec, WorkflowSpec)
+    assert spec.schedule == Schedule(3, 1700000000000, 5000)
+
+
+@pytest.mark.parametrize(
+    'body',
+    [
+        b'',
+        b'{',
+        b'[]',
+        b'\xff',
+        b'{"steps":5}',
+        b'{"steps":[{"count":"4"}]}',
+        b'{"steps":[{"count":0}]}',
+        b'{"steps":[{"count":1,"depends_on":[0]}]}',
+        json.dumps({**JOB, 'spec': 'x' * 4001}).encode(),
+    ],
+)
+def test_bad_jobs(body: bytes) -> None:
+    """What can't be read is refused with a reason."""
+    assert isinstance(decode_job(body), str)
+
+
+def _encode(**changes: object) -> bytes:
+    return json.dumps({**CONFIGURATION, **changes}).encode()
+
+
+def test_configuration() -> None:
+    """A configuration keeps the bytes that it came in."""
+    configuration = decode_configuration(_encode())
+    assert isinstance(configuration, QueueConfiguration)
+    assert configuration.version == 7
+    assert configuration.queues[0].slack_ms == 300
+    assert configuration.source == _encode()
+
+
+@pytest.mark.parametrize(
+    'body',
+    [
+        _encode()[:-20],
+        _encode(version='7'),
+        _encode(services=[]),
+        _encode(routes=[ROUTE, {**ROUTE, 'name': 'r-2'}]),
+        _encode(routes=[{**ROUTE, 'timeout_ms': 0}]),
+        _encode(routes=[{**ROUTE, 'host': None}]),
+        b'',
+    ],
+)
+def test_bad_configurations(body: bytes) -> None:
+    """Every kind of invalid configuration is refused."""
+    assert isinstance(decode_configuration(body), str)
--- /dev/null
+++ b/cumintack/state/workflows_machine_test.py
@@ -0,0 +1,247 @@
+"""Workflows against a simple oracle: what each run may do, and when.
+
+The machine hands in workflows, records starts and ends in any order, repeats
+them and cancels. The oracle keeps only what the rules speak of: which tasks
+are done, how often each failed, and which run is the latest.
+"""
+
+import msgspec
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from cumintack.state._workflow_changes import (
+    apply_workflow_operation,
+    compute_index,
+)
+from cumintack.state.errors import ErrorCode
+from cumintack.state.queues import Pool, Queue, QueueConfiguration
+from cumintack.state.resources import Resources
+from cumintack.state.workflows import (
+    AcceptWorkflow,
+    BeginOccurrence,
+    CancelWorkflow,
+    RecordRuns,
+    ReplaceQueues,
+    RunEnd,
+    RunEndKind,
+    RunStart,
+    Schedule,
+    StepSpec,
+    TaskKey,
+    WorkflowOperation,
+    WorkflowSpec,
+    WorkflowStatus,
+    WorkflowTables,
+    create_task_id,
+    get_task,
+    parse_task_id,
+)
+
+ATTEMPTS = 2
+QUEUE = Queue('queue', 'host', '/queue/', 'pool', 0, ATTEMPTS, 2, 1000, 3000)
+NEED = Resources(1000, 1000)
+SPECS = (
+    WorkflowSpec('text', (StepSpec(2, NEED), StepSpec(2, NEED, 0, (0,)))),
+    WorkflowSpec('text', (StepSpec(3, NEED, is_gang=True),)),
+    WorkflowSpec('text', (StepSpec(2, NEED, is_lasting=True),)),
+    WorkflowSpec('text', (StepSpec(1, NEED),), Schedule(2, 0, 1000)),
+)
+IDS = tuple(f'{number:016x}' for number in range(4))
+
+
+class WorkflowMachine(RuleBasedStateMachine):
+    """Any operations in any order."""
+
+    def __init__(self) -> None:
+        """Configure one queue."""
+        super().__init__()
+        self.tables = WorkflowTables()
+        self.specs: dict[str, WorkflowSpec] = {}
+        self.cancelled: set[str] = set()
+        self.done: set[str] = set()
+        self.failures: dict[str, int] = {}
+        self.running: dict[str, int] = {}
+        self.latest: dict[str, int] = {}
+        configuration = QueueConfiguration(1, (QUEUE,), (Pool('pool'),))
+        self._apply(ReplaceQueues(configuration))
+
+    def _apply(self, operation: WorkflowOperation) -> ErrorCode | None:
+        encoded = msgspec.msgpack.encode(operation)
+        decoded = msgspec.msgpack.decode(encoded, type=type(operation))
+        error = apply_workflow_operation(self.tables, decoded, 1000)
+        return error.code if error else None
+
+    @rule(workflow_id=st.sampled_from(IDS), spec=st.sampled_from(SPECS))
+    def accept(self, workflow_id: str, spec: WorkflowSpec) -> None:
+        """Hand in a workflow, maybe again and with another content."""
+        path = f'/queue/{workflow_id}'
+        code = self._apply(AcceptWorkflow(workflow_id, 'host', path, spec))
+        assert code is None
+        self.specs.setdefault(workflow_id, spec)
+
+    @rule(workflow_id=st.sampled_from(IDS))
+    def accept_without_queue(self, workflow_id: str) -> None:
+        """A path without a queue is refused and leaves nothing."""
+        known = set(self.tables.workflows)
+        operation = AcceptWorkflow(workflow_id, 'other', '/x/', SPECS[0])
+        code = self._apply(operation)
+        if workflow_id not in known:
+            assert code is ErrorCode.not_found
+        assert set(self.tables.workflows) == known
+
+    @rule(workflow_id=st.sampled_from(IDS))
+    def cancel(self, workflow_id: str) -> None:
+        """Cancel a workflow."""
+        code = self._apply(CancelWorkflow(workflow_id, 'host', '/x/'))
+        if workflow_id not in self.specs:
+            assert code is ErrorCode.not_found
+            return
+        workflow = self.tables.workflows[workflow_id]
+        if workflow.status is WorkflowStatus.cancelled:
+            self.cancelled.add(workflow_id)
+
+    @rule(workflow_id=st.sampled_from(IDS), occurrence=st.integers(0, 2))
+    def begin(self, workflow_id: str, occurrence: int) -> None:
+        """Begin an occurrence, maybe twice or too early in the order."""
+        self._apply(BeginOccurrence(workflow_id, occurrence))
+
+    @rule(data=st.data())
+    def start(self, data: st.DataObject) -> None:
+        """Start a waiting task, or one that must not start."""
+        waiting = [
+            create_task_id(TaskKey(key, index))
+            for key, step in self.tables.index.waiting.items()
+            for index in step.indexes
+        ]
+        anything = sorted(self.latest) + sorted(waiting)
+        if not anything:
+            return
+        task_id = data.draw(st.sampled_from(anything))
+        run = self.latest.get(task_id, 0) + data.draw(st.integers(0, 2))
+        self._apply(RecordRuns(starts=(RunStart(task_id, run, 'g', 'l'),)))
+        key = parse_task_id(task_id)
+        task = get_task(self.tables, key) if key else None
+        assert task is not None
+        if task.run != self.latest.get(task_id, 0):
+            self._judge_start(task_id, run)
+
+    def _judge_start(self, task_id: str, run: int) -> None:
+        assert run > self.latest.get(task_id, 0)
+        assert task_id not in self.running
+        assert task_id not in self.done
+        workflow_id, occurrence, step, _index = task_id.split('.')
+        spec = self.specs[workflow_id]
+        assert workflow_id not in self.cancelled
+        assert self._count_failures(workflow_id) < ATTEMPTS or (
+            spec.steps[0].is_lasting
+        )
+        for earlier in spec.steps[int(step)].depends_on:
+            for index in range(spec.steps[earlier].task_count):
+                name = f'{workflow_id}.{occurrence}.{earlier}.{index}'
+                assert name in self.done
+        self.latest[task_id] = run
+        self.running[task_id] = run
+
+    def _count_failures(self, workflow_id: str) -> int:
+        return max(
+            (
+                count
+                for task_id, count in self.failures.items()
+                if task_id.startswith(workflow_id)
+            ),
+            default=0,
+        )
+
+    @rule(
+        data=st.data(),
+        kind=st.sampled_from(tuple(RunEndKind)),
+        offset=st.sampled_from((0, 0, 0, -1, 1)),
+        times=st.integers(1, 2),
+    )
+    def end(
+        self,
+        data: st.DataObject,
+        kind: RunEndKind,
+        offset: int,
+        times: int,
+    ) -> None:
+        """End a run, maybe twice, or one that is not the latest."""
+        if not self.latest:
+            return
+        task_id = data.draw(st.sampled_from(sorted(self.latest)))
+        run = self.latest[task_id] + offset
+        ends = (RunEnd(task_id, run, kind, 'saved'),) * times
+        self._apply(RecordRuns(ends=ends))
+        if self.running.get(task_id) == run:
+            self._follow_end(task_id, kind)
+
+    def _follow_end(self, task_id: str, kind: RunEndKind) -> None:
+        self.running.pop(task_id)
+        workflow_id, occurrence, step, _index = task_id.split('.')
+        spec = self.specs[workflow_id].steps[int(step)]
+        if kind is RunEndKind.failed:
+            self.failures[task_id] = self.failures.get(task_id, 0) + 1
+        if kind is not RunEndKind.done or spec.is_lasting:
+            return
+        self.done.add(task_id)
+        if spec.is_gang:
+            prefix = f'{workflow_id}.{occurrence}.{step}'
+            self.done.update(
+                f'{prefix}.{index}' for index in range(spec.task_count)
+            )
+
+    @invariant()
+    def index_follows_records(self) -> None:
+        """What is derived step by step is what the records say."""
+        decoded = msgspec.msgpack.decode(
+            msgspec.msgpack.encode(
+                msgspec.structs.replace(
+                    self.tables,
+                    index=type(self.tables.index)(),
+                ),
+            ),
+            type=WorkflowTables,
+        )
+        compute_index(decoded)
+        kept = self.tables.index
+        assert decoded.index.active == kept.active
+        assert decoded.index.unbegun == kept.unbegun
+        assert _sort(decoded) == _sort(self.tables)
+        assert {
+            task_id for tasks in kept.placed.values() for task_id in tasks
+        } == set(self.running)
+
+    @invariant()
+    def completed_means_all_done(self) -> None:
+        """A workflow is completed if and only if every task is done."""
+        for workflow_id, workflow in self.tables.workflows.items():
+            spec = self.specs[workflow_id]
+            names = _list_tasks(workflow_id, spec)
+            is_whole = names <= self.done
+            if workflow.status is WorkflowStatus.completed:
+                assert is_whole
+            if workflow.status is WorkflowStatus.active:
+                assert not is_whole
+
+
+def _list_tasks(workflow_id: str, spec: WorkflowSpec) -> set[str]:
+    occurrences = spec.schedule.repeat_count if spec.schedule else 1
+    steps = [
+        f'{workflow_id}.{occurrence}.{step}'
+        for occurrence in range(occurrences)
+        for step, _asked in enumerate(spec.steps)
+    ]
+    return {
+        f'{name}.{index}'
+        for name in steps
+        for index in range(spec.steps[int(name[-1])].task_count)
+    }
+
+
+def _sort(tables: WorkflowTables) -> dict[object, set[int]]:
+    return {
+        key: set(step.indexes) for key, step in tables.index.waiting.items()
+    }
+
+
+TestWorkflows = WorkflowMachine.TestCase
