The logger of a process can be made

Its test failed twice with an empty pipe: the bucket of lines had run empty within the few ms of the loop, so time decided. Change: a logger of three lines; the writer takes a clock, the test sets it. Conclusion: mended.

--- a/cumintack/daemon/logs.py
+++ b/cumintack/daemon/logs.py
@@ -10,12 +10,13 @@
 import select
 import sys
 import threading
-import time
-from typing import TextIO, cast
+from collections.abc import Callable
 
 import msgspec
 import structlog
 
+from cumintack.transport.clock import Clock, SystemClock
+
 LEVELS = {
     'debug': logging.DEBUG,
     'info': logging.INFO,
@@ -33,19 +34,24 @@
 class BoundedWriter:
     """Writes lines to a file descriptor without ever waiting."""
 
-    __slots__ = ('_descriptor', '_dropped', '_filled_at_s', '_lock', '_tokens')
+    __slots__ = (
+        '_clock',
+        '_descriptor',
+        '_dropped',
+        '_filled_at_s',
+        '_lock',
+        '_tokens',
+    )
 
-    def __init__(self, descriptor: int) -> None:
+    def __init__(self, descriptor: int, clock: Clock) -> None:
         """Write to an open descriptor."""
+        self._clock = clock
         self._descriptor = descriptor
         self._dropped = 0
-        self._filled_at_s = time.monotonic()
+        self._filled_at_s = self._clock.now_s()
         self._lock = threading.Lock()
         self._tokens = BURST_LINES
 
-    def flush(self) -> None:
-        """Do nothing: every line is written at once."""
-
     def write(self, line: str) -> None:
         """Write a line, or drop and count it."""
         encoded = line.rstrip('\n').encode('utf-8', 'replace')
@@ -58,7 +64,7 @@
                 self._dropped += 1
 
     def _take_token(self) -> bool:
-        now_s = time.monotonic()
+        now_s = self._clock.now_s()
         filled = (now_s - self._filled_at_s) * LINES_PER_S
         self._filled_at_s = now_s
         self._tokens = min(BURST_LINES, self._tokens + filled)
@@ -93,6 +99,19 @@
     return msgspec.json.encode(short)
 
 
+class _LineLogger:
+    """What structlog calls with each rendered line, whatever its level."""
+
+    __slots__ = ('_writer',)
+
+    def __init__(self, writer: BoundedWriter) -> None:
+        """Write through a writer."""
+        self._writer = writer
+
+    def __getattr__(self, _level: str) -> Callable[[str], None]:
+        return self._writer.write
+
+
 def _render(
     _logger: object,
     _method: str,
@@ -107,7 +126,7 @@
     Args:
         level: The least level to write.
     """
-    writer = BoundedWriter(sys.stdout.fileno())
+    writer = BoundedWriter(sys.stdout.fileno(), SystemClock())
     structlog.configure(
         processors=[
             structlog.processors.add_log_level,
@@ -117,8 +136,6 @@
         wrapper_class=structlog.make_filtering_bound_logger(
             LEVELS.get(level, logging.INFO),
         ),
-        logger_factory=structlog.WriteLoggerFactory(
-            file=cast('TextIO', writer),
-        ),
+        logger_factory=lambda *_names: _LineLogger(writer),
         cache_logger_on_first_use=True,
     )
