Serving tasks are packed, so that other workers are free for filling ones

Change: a serving task goes to the fullest worker that serves already; looks are at most 0.5 s apart; leases are 8 s, so that an outage of the control group of 6 s loses no work.

--- a/cumintack/coordination/runs/pacing.py
+++ b/cumintack/coordination/runs/pacing.py
@@ -20,7 +20,7 @@
 # second old.
 AIM_SHARE = 0.75
 # Share of the target from which an image is slowed.
-HIGH_SHARE = 0.88
+HIGH_SHARE = 0.85
 # Share of the target under which it is given speed back.
 LOW_SHARE = 0.7
 # Most percent points given back at a step.
--- a/cumintack/coordination/runs/placing.py
+++ b/cumintack/coordination/runs/placing.py
@@ -278,7 +278,7 @@
 
 # Weights of the reasons to prefer a worker; a higher one decides alone.
 WEIGHT_DATA_RACK = 1e9
-WEIGHT_OTHER = 2e7
+WEIGHT_OPEN = 2e7
 WEIGHT_SAME = 1e7
 WEIGHT_SPEED = 1e6
 
@@ -291,9 +291,20 @@
     if step.is_filling:
         score += WEIGHT_SPEED * get_speed(current, site, step)
     if step.target_ms:
-        # Serving tasks of one image together leave other workers to the
-        # filling images that disturb just this one.
-        for image, _share in site.room.serving:
-            is_same = image == step.image
-            score += WEIGHT_SAME if is_same else -WEIGHT_OTHER
+        return _score_serving(site, step)
+    return score
+
+
+def _score_serving(site: Site, step: StepSpec) -> float:
+    """Prefer a worker that serves already, and the fullest of these.
+
+    Serving tasks packed on few workers leave the others to filling tasks,
+    which disturb nobody there.
+    """
+    score = -float(compute_free(site.view, site.room).cores_milli)
+    images = {image for image, _share in site.room.serving}
+    if not images:
+        score -= WEIGHT_OPEN
+    if step.image in images:
+        score += WEIGHT_SAME
     return score
--- a/cumintack/daemon/settings.py
+++ b/cumintack/daemon/settings.py
@@ -72,7 +72,7 @@
     is_first_start: bool = False
     replica_count: int = 3
     is_sync_trusted: bool = False
-    run_lease_ms: int = 6000
+    run_lease_ms: int = 8000
 
 
 class EntrySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -166,9 +166,9 @@
     http_address: str
     worker_address: str
     call_threads: int = 3
-    look_wait_ms: int = 1000
+    look_wait_ms: int = 500
     report_interval_ms: int = 500
-    run_lease_ms: int = 6000
+    run_lease_ms: int = 8000
 
 
 class TokenSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
