--- a/cumintack/daemon/control_part.py
+++ b/cumintack/daemon/control_part.py
@@ -85,6 +85,8 @@
 
 EXIT_DISK_FAILED = 3
 HEX_BASE = 16
+# Voters of the smallest group that survives a loss.
+LEAST_VOTERS = 3
 # Seconds that a leader that stops waits for its successor; an election among
 # three data centres takes a tenth of that.
 HANDOVER_S = 0.5
@@ -503,7 +505,7 @@
     def _remove_silent(self, now_s: float) -> None:
         name = replication.remove_silent(
             self._replica,
-            self._settings.replica_count,
+            max(LEAST_VOTERS, self._settings.tolerated_losses * 2 + 1),
             now_s,
         )
         if name:
--- a/cumintack/daemon/metric_names.py
+++ b/cumintack/daemon/metric_names.py
@@ -12,7 +12,7 @@
 
     Attributes:
         name: Name below ``PREFIX.PROCESS``.
-        kind: ``counter``, ``gauge`` or ``timer``.
+        kind: ``counter``, ``gauge``, ``timer`` or ``histogram``.
         unit: Unit of the number.
         meaning: One sentence.
     """
@@ -28,6 +28,23 @@
 
 
 METRIC_NAMES = (
+    _count('gate.unknown', 'Workflow calls whose outcome is not known.'),
+    _count('guard.call-done', 'Calls to the worker that did what was asked.'),
+    _count('guard.call-refused', 'Calls to the worker that it refused.'),
+    _count('guard.call-unanswered', 'Calls to the worker without an answer.'),
+    _count('run.alone', 'Runs of gangs that waited for the others in vain.'),
+    _count('run.broken', 'Runs that ended because another of the gang did.'),
+    _count('run.done', 'Runs that did their work.'),
+    _count('run.failed', 'Runs that failed.'),
+    _count('run.lapsed', 'Runs whose lease ran out at the worker.'),
+    _count('run.lost', 'Runs whose worker is gone or silent too long.'),
+    _count('run.placed', 'Runs recorded with their worker.'),
+    _count('run.refused', 'Runs that never started at their worker.'),
+    _count('run.stopped', 'Runs that were stopped.'),
+    _count('workflow.cancelled', 'Workflows cancelled.'),
+    _count('workflow.handed-in', 'Workflows handed in, again or not.'),
+    MetricName('gate.submit', 'histogram', 's', 'From an entry to a commit.'),
+    MetricName('guard.call', 'histogram', 's', 'A call to the worker.'),
     _count('config.in_force', 'Configurations taken into force.'),
     _count('control.completed', 'Tasks completed.'),
     _count('control.failed', 'Attempts of tasks that failed.'),
--- a/cumintack/daemon/node.py
+++ b/cumintack/daemon/node.py
@@ -53,6 +53,7 @@
 from cumintack.transport.keys import LinkKeys
 from cumintack.transport.links import LinkCounters, Links
 from cumintack.transport.metrics import Metrics
+from cumintack.transport.metrics_page import MetricsPage
 
 LOOP_WAIT_S = 0.01
 # Anything that arrives wakes the loop; only probes and heartbeats are paced
@@ -110,6 +111,7 @@
         '_sent_counts',
         '_status_at_s',
         '_event_file',
+        '_metrics_page',
         '_flush_at_s',
         '_stop_deadline_s',
         '_wake_reader',
@@ -159,6 +161,7 @@
         names = [peer.name for peer in settings.control_replicas]
         self.calls = CallTable(names)
         self._event_file: EventFile | None = None
+        self._metrics_page: MetricsPage | None = None
         if settings.log.events_file:
             path = pathlib.Path(settings.log.events_file)
             self._event_file = EventFile(path)
@@ -191,6 +194,11 @@
         self.links.listen(self.settings.link_address)
         self.links.watch(self._wake_reader.fileno())
         self.links.on_route_changed = self._handle_route_changed
+        if self.settings.metrics_address:
+            self._metrics_page = MetricsPage(
+                self.settings.metrics_address,
+                self.metrics,
+            )
         for peer in self._list_dialled():
             if peer.name != self.settings.name:
                 self.links.dial(peer.name, peer.address)
@@ -279,6 +287,8 @@
         self.links.close(GOODBYE_LINGER_S)
         if self._event_file is not None:
             self._event_file.close()
+        if self._metrics_page is not None:
+            self._metrics_page.close()
         logger.info('node: stopped')
 
     def _is_done(self) -> bool:
--- a/cumintack/daemon/settings.py
+++ b/cumintack/daemon/settings.py
@@ -23,6 +23,8 @@
     'workflow_entry',
     'workflow_guard',
 )
+# Numbers of a role that may be 0; all others must be over it.
+MAY_BE_ZERO = frozenset(('tolerated_losses',))
 POLICY_NAMES = ('expected-time', 'round-robin')
 TOKEN_ROLES = ('reader', 'operator', 'administrator')
 
@@ -55,8 +57,8 @@
             of queues, as ``host:port``; empty for nowhere.
         is_first_start: Whether the deployment starts for the first time, so
             that the seeds among the replicas found the control group.
-        replica_count: Voters that the group keeps; a member that is silent
-            leaves once there are more.
+        tolerated_losses: Replicas that may be lost at once; a silent member
+            leaves once there are more voters than that needs.
         is_sync_trusted: Whether the disk keeps all that was synced, so that
             a torn last write can't have been acknowledged.
         run_lease_ms: Length of the lease of a worker with runs.
@@ -70,7 +72,7 @@
     pass_interval_ms: int = 20
     operator_address: str = ''
     is_first_start: bool = False
-    replica_count: int = 3
+    tolerated_losses: int = 1
     is_sync_trusted: bool = False
     run_lease_ms: int = 8000
 
@@ -245,6 +247,8 @@
             listen on ``link_port``.
         link_port: Port of the links of the seeds.
         label: Name of the machine for people, in logs.
+        metrics_address: Where metrics are shown as text, as ``host:port``;
+            empty for nowhere.
         admin: The administration API.
         statsd: Where metrics go.
         log: Logs.
@@ -272,6 +276,7 @@
     seeds: tuple[str, ...] = ()
     link_port: int = 0
     label: str = ''
+    metrics_address: str = ''
 
 
 def get_roles(settings: Settings) -> tuple[str, ...]:
@@ -455,7 +460,8 @@
         problems.extend(
             f'{role}.{name}: must be over 0'
             for name in names
-            if _is_number_up_to_zero(getattr(section, name))
+            if name not in MAY_BE_ZERO
+            and _is_number_up_to_zero(getattr(section, name))
         )
     control = settings.control
     if control and control.election_timeout_ms < control.heartbeat_ms * 3:
--- a/cumintack/daemon/workflow_desk.py
+++ b/cumintack/daemon/workflow_desk.py
@@ -15,7 +15,10 @@
     handle_unproposed_runs,
 )
 from cumintack.daemon.node import Node
-from cumintack.daemon.workflow_log import log_operation
+from cumintack.daemon.workflow_log import (
+    count_operation,
+    log_operation,
+)
 from cumintack.protocol.run_messages import (
     QueueConfigurationQuery,
     RunReport,
@@ -86,6 +89,7 @@
         """Follow an operation that was applied."""
         if self._lead is not None:
             log_operation(tables, operation)
+            count_operation(self._node.metrics, operation)
             follow_applied(self._lead, tables, operation)
 
     def handle_unproposed(self, operation: object) -> None:
--- a/cumintack/daemon/workflow_entry_part.py
+++ b/cumintack/daemon/workflow_entry_part.py
@@ -84,12 +84,16 @@
         """Have an operation committed; an error of code timeout is doubt."""
         name = self._node.settings.name
         command = Command('', 0, name, 0, operation)
+        begun_s = self._node.clock.now_s()
         reply = call_leader(
             self._node,
             lambda call_id: Propose(call_id, command),
             timeout_s,
         )
+        took_s = self._node.clock.now_s() - begun_s
+        self._node.metrics.observe('gate.submit', took_s)
         if not isinstance(reply, Proposed) or reply.outcome is None:
+            self._node.metrics.count('gate.unknown')
             return UNKNOWN
         return reply.outcome.error
 
--- a/cumintack/daemon/workflow_guard_part.py
+++ b/cumintack/daemon/workflow_guard_part.py
@@ -46,6 +46,13 @@
 # Seconds that a lease must gain for a call that extends it.
 GRANT_GAIN_S = 1.0
 
+# Counters of calls, by whether they were answered and did what was asked.
+_COUNTERS = {
+    (True, True): 'guard.call-done',
+    (True, False): 'guard.call-refused',
+    (False, False): 'guard.call-unanswered',
+}
+
 logger = structlog.get_logger()
 FactsAndCall = tuple[WorkerFacts, WorkerCall]
 
@@ -186,9 +193,13 @@
         answer: CallAnswer,
         lifetime: str,
     ) -> None:
+        name = type(call).__name__
+        took_s = answer.answered_at_s - answer.sent_at_s
+        self._node.metrics.observe('guard.call', took_s)
+        self._node.metrics.count(_COUNTERS[answer.is_answered, answer.is_done])
         logger.info(
             'guard: call made',
-            call=type(call).__name__,
+            call=name,
             task=call.key.task_id,
             run=call.key.run,
             term=call.term,
--- a/cumintack/daemon/workflow_log.py
+++ b/cumintack/daemon/workflow_log.py
@@ -1,4 +1,4 @@
-"""Log lines of the leader: one for each decision on a workflow or a run."""
+"""Log lines and counters of the leader, for decisions on workflows and runs."""
 
 import structlog
 
@@ -11,6 +11,7 @@
     StepSpec,
     WorkflowTables,
 )
+from cumintack.transport.metrics import Metrics
 
 # Runs listed in one line, which stays under the longest line of a log.
 MAX_LISTED = 40
@@ -40,6 +41,24 @@
             _log_runs(tables, operation)
 
 
+def count_operation(metrics: Metrics, operation: object) -> None:
+    """Count an operation that was applied.
+
+    Args:
+        metrics: The counters of the process.
+        operation: The operation.
+    """
+    match operation:
+        case AcceptWorkflow():
+            metrics.count('workflow.handed-in')
+        case CancelWorkflow():
+            metrics.count('workflow.cancelled')
+        case RecordRuns():
+            metrics.count('run.placed', len(operation.starts))
+            for end in operation.ends:
+                metrics.count(f'run.{end.kind.value}')
+
+
 def _log_accepted(tables: WorkflowTables, operation: AcceptWorkflow) -> None:
     workflow = tables.workflows.get(operation.workflow_id)
     if workflow is None:
--- /dev/null
+++ b/cumintack/platform/deploy_test.py
@@ -0,0 +1,60 @@
+"""The files for the platform agree with the program."""
+
+import pathlib
+import re
+import tomllib
+
+import pytest
+import yaml
+from result import Ok
+
+from cumintack.daemon.settings import parse_settings
+
+ROOT = pathlib.Path(__file__).parents[2]
+ROLES = ('entry', 'guard', 'control')
+FIELDS = {
+    'ip': '10.1.0.13',
+    'node_name': 'edge-north-yard-1',
+    'zone': 'north-yard',
+    'internal_ports.0': '7720',
+    'seed_addrs|json': '["10.1.0.17:8166", "10.2.0.34:8166"]',
+    'bind_addrs.front': '10.1.0.13:8161',
+    'bind_addrs.ready': '10.1.0.13:8167',
+    'bind_addrs.control': '10.1.0.13:8166',
+    'app': '10.1.0.13:8165',
+    'data_dir': '/data/control',
+    'initial_start|json': 'true',
+    'bounds.grace_s': '6',
+    'fault_tolerance.machines': '0',
+}
+PLACEHOLDER = re.compile('{{([^}]+)}}')
+
+
+def test_requirements_are_those_of_the_project() -> None:
+    """What the platform installs is what the project declares."""
+    text = (ROOT / 'pyproject.toml').read_text(encoding='utf-8')
+    declared = tomllib.loads(text)['project']['dependencies']
+    listed = (ROOT / 'requirements.txt').read_text(encoding='utf-8')
+    assert listed.split() == declared
+
+
+@pytest.mark.parametrize('role', ROLES)
+def test_template_gives_good_settings(role: str) -> None:
+    """A filled-in template is a settings file without a problem."""
+    text = (ROOT / 'deploy' / f'{role}.yaml').read_text(encoding='utf-8')
+    filled = PLACEHOLDER.sub(lambda match: FIELDS[match[1]], text)
+    parsed = parse_settings(filled, role)
+    assert isinstance(parsed, Ok), parsed
+    settings = parsed.ok_value
+    assert settings.name == '10.1.0.13'
+    assert settings.control_replicas[0].address == '10.1.0.17:7720'
+
+
+def test_every_role_has_its_template() -> None:
+    """The deploy file names templates that are there."""
+    text = (ROOT / 'deploy' / 'system.toml').read_text(encoding='utf-8')
+    roles = tomllib.loads(text)['roles']
+    assert set(roles) == set(ROLES)
+    for role in roles.values():
+        template = ROOT / role['template']
+        assert yaml.safe_load(PLACEHOLDER.sub('x', template.read_text()))
--- a/cumintack/transport/metrics.py
+++ b/cumintack/transport/metrics.py
@@ -1,52 +1,84 @@
-"""Metrics over statsd.
+"""Counters, gauges, timers and latency histograms of a process.
+
+They are sent over statsd and shown as text on the metrics address.
 
 Counts are gathered in the process and sent in batches by UDP without
 waiting, so that a sink that is down or slow costs nothing.
 """
 
+import bisect
+
 import statsd
 
 FLUSH_INTERVAL_S = 1.0
+# Upper ends of the buckets of latencies, in seconds: from a call on the same
+# machine to the longest wait of a caller.
+BUCKETS_S = (0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0)
+
+
+class Histogram:
+    """Latencies counted by bucket."""
+
+    __slots__ = ('counts', 'sum_s')
+
+    def __init__(self) -> None:
+        """Start with empty buckets; the last one has no upper end."""
+        self.counts = [0 for _ in (*BUCKETS_S, None)]
+        self.sum_s = 0.0
+
+    def add(self, duration_s: float) -> None:
+        """Count a latency."""
+        self.counts[bisect.bisect_left(BUCKETS_S, duration_s)] += 1
+        self.sum_s += duration_s
 
 
 class Metrics:
     """Counters, gauges and timers of a process."""
 
-    __slots__ = ('_client', '_counts', '_gauges', '_timers')
+    __slots__ = ('_client', '_timers', 'counts', 'gauges', 'histograms')
 
     def __init__(self, host: str, port: int, prefix: str) -> None:
         """Send to ``host`` and ``port``; an empty host sends nothing."""
         self._client = None
         if host:
             self._client = statsd.StatsClient(host, port, prefix=prefix)
-        self._counts: dict[str, int] = {}
-        self._gauges: dict[str, float] = {}
+        self.counts: dict[str, int] = {}
+        self.gauges: dict[str, float] = {}
         self._timers: dict[str, list[float]] = {}
+        self.histograms: dict[str, Histogram] = {}
 
     def count(self, name: str, amount: int = 1) -> None:
         """Add to a counter."""
-        self._counts[name] = self._counts.get(name, 0) + amount
+        self.counts[name] = self.counts.get(name, 0) + amount
 
     def gauge(self, name: str, level: float) -> None:
         """Set a gauge."""
-        self._gauges[name] = level
+        self.gauges[name] = level
 
     def time(self, name: str, duration_s: float) -> None:
         """Add a duration to a timer."""
         if self._client is not None:
             self._timers.setdefault(name, []).append(duration_s)
 
+    def observe(self, name: str, duration_s: float) -> None:
+        """Add a latency to a histogram."""
+        known = self.histograms.get(name)
+        if known is None:
+            known = Histogram()
+            self.histograms[name] = known
+        known.add(duration_s)
+
     def flush(self, sent_counts: dict[str, int]) -> None:
         """Send what changed; ``sent_counts`` keeps what was sent before."""
         if self._client is None:
             return
         with self._client.pipeline() as batch:
-            for name, total in self._counts.items():
+            for name, total in self.counts.items():
                 change = total - sent_counts.get(name, 0)
                 if change:
                     batch.incr(name, change)
                     sent_counts[name] = total
-            for name, level in self._gauges.items():
+            for name, level in self.gauges.items():
                 batch.gauge(name, level)
             for name, durations_s in self._timers.items():
                 for duration_s in durations_s:
--- /dev/null
+++ b/cumintack/transport/metrics_page.py
@@ -0,0 +1,103 @@
+"""The metrics of a process as text, on an HTTP address of its own."""
+
+from collections.abc import Iterator
+from http import HTTPStatus
+from itertools import accumulate
+from typing import Any
+
+from cumintack.transport.http_server import (
+    HttpRequest,
+    HttpResponse,
+    HttpServer,
+)
+from cumintack.transport.metrics import BUCKETS_S, Histogram, Metrics
+
+THREADS = 1
+MAX_BODY_BYTES = 1024
+NAMESPACE = 'cumintack'
+PATH = '/metrics'
+
+
+class MetricsPage:
+    """Serves what a process has counted."""
+
+    __slots__ = ('_metrics', '_server')
+
+    def __init__(self, address: str, metrics: Metrics) -> None:
+        """Listen on ``host:port``."""
+        self._metrics = metrics
+        self._server = HttpServer(
+            address,
+            self._respond,
+            THREADS,
+            MAX_BODY_BYTES,
+        )
+        self._server.start()
+
+    def close(self) -> None:
+        """Stop listening."""
+        self._server.stop()
+
+    def _respond(self, request: HttpRequest) -> HttpResponse:
+        if request.path != PATH:
+            return HttpResponse(HTTPStatus.NOT_FOUND, b'')
+        return HttpResponse(
+            HTTPStatus.OK,
+            render_metrics(self._metrics),
+            content_type='text/plain; version=0.0.4; charset=utf-8',
+        )
+
+
+def _get_name(name: str) -> str:
+    flat = name.replace('.', '_').replace('-', '_')
+    return f'{NAMESPACE}_{flat}'
+
+
+def _accumulate(histogram: Histogram) -> list[tuple[str, float]]:
+    ends = [*(str(end) for end in BUCKETS_S), '+Inf']
+    sums = accumulate(histogram.counts)
+    return list(zip(ends, (float(total) for total in sums), strict=True))
+
+
+def render_metrics(metrics: Metrics) -> bytes:
+    """Render metrics as text.
+
+    Args:
+        metrics: What was counted.
+
+    Returns:
+        The page.
+    """
+    # The library is loaded by the first reader only: memory is paid for, and
+    # most processes are never asked.
+    from prometheus_client import CollectorRegistry, generate_latest
+
+    registry = CollectorRegistry()
+    registry.register(Counted(metrics))
+    return generate_latest(registry)
+
+
+class Counted:
+    """Hands the numbers of a process to the library."""
+
+    def __init__(self, metrics: Metrics) -> None:
+        """Hand on what a process counts."""
+        self._metrics = metrics
+
+    def collect(self) -> Iterator[Any]:
+        """Iterate over all metrics."""
+        from prometheus_client import core
+
+        for counter, count in list(self._metrics.counts.items()):
+            name = _get_name(counter)
+            yield core.CounterMetricFamily(name, counter, value=count)
+        for gauge, level in list(self._metrics.gauges.items()):
+            name = _get_name(gauge)
+            yield core.GaugeMetricFamily(name, gauge, value=level)
+        for latency, histogram in list(self._metrics.histograms.items()):
+            yield core.HistogramMetricFamily(
+                f'{_get_name(latency)}_seconds',
+                latency,
+                buckets=_accumulate(histogram),
+                sum_value=histogram.sum_s,
+            )
