A line for each answer of an entry, and one command that explains an identifier

Cause: an on-call engineer could follow a run at the leader and the guard, but not what a caller was told, nor why a run was stopped to go on elsewhere. Change: entries log each answer with outcome, time and leader; guards log whom they follow; the leader logs why it stops a run; 'cumintack explain ID FILE...' puts the lines of all processes in order, with changes of the leader, and names processes that wrote nothing.

--- a/cumintack/cli/main.py
+++ b/cumintack/cli/main.py
@@ -9,6 +9,10 @@
 from cumintack.cli.api import Api, ApiError, Applied
 from cumintack.cli.reference import create_reference
 from cumintack.cli.rendering import render_rows, render_timeline
+from cumintack.coordination.explanation import (
+    explain,
+    render_explanation,
+)
 from cumintack.coordination.querying import Rows
 from cumintack.coordination.timeline import merge_events
 from cumintack.daemon.settings import load_settings
@@ -121,6 +125,31 @@
                 continue
 
 
+@main.command('explain')
+@click.argument('identifier')
+@click.argument('logs', nargs=-1, required=True, type=PATH)
+def explain_identifier(
+    identifier: str,
+    logs: tuple[pathlib.Path, ...],
+) -> None:
+    """Tell from log files what became of a workflow, a task or a run.
+
+    Each file is the log of one process and is named after it.
+    """
+    try:
+        texts = {
+            path.stem: path.read_text(encoding='utf-8', errors='replace')
+            for path in logs
+        }
+    except OSError as error:
+        fail(ApiError(str(error.strerror), 'explain', str(error.filename)))
+    found = explain(texts, identifier)
+    for line in render_explanation(found, identifier):
+        click.echo(line)
+    if not found.lines:
+        sys.exit(EXIT_FAILED)
+
+
 @main.group()
 def config() -> None:
     """Show and change the configuration."""
--- a/cumintack/daemon/workflow_desk.py
+++ b/cumintack/daemon/workflow_desk.py
@@ -18,6 +18,7 @@
 from cumintack.daemon.workflow_log import (
     count_operation,
     log_operation,
+    log_stops,
 )
 from cumintack.protocol.run_messages import (
     QueueConfigurationQuery,
@@ -102,7 +103,11 @@
         if self._lead is None:
             return []
         now_ms = get_wall_ms(self._node.clock)
-        return handle_run_tick(self._lead, tables, now_s, now_ms)
+        known = set(self._lead.stopping)
+        effects = handle_run_tick(self._lead, tables, now_s, now_ms)
+        if len(self._lead.stopping) != len(known):
+            log_stops(self._lead.stopping, known)
+        return effects
 
     def is_waiting(self) -> bool:
         """Return whether a pass or orders are to follow at once."""
--- a/cumintack/daemon/workflow_entry_part.py
+++ b/cumintack/daemon/workflow_entry_part.py
@@ -20,8 +20,14 @@
 from cumintack.state.commands import Command, Operation
 from cumintack.state.configuration import Configuration
 from cumintack.state.errors import ErrorCode, StepError
+from cumintack.state.workflows import (
+    AcceptWorkflow,
+    CancelWorkflow,
+    ReplaceQueues,
+)
 from cumintack.transport.http_server import HttpHandler, HttpServer
 
+MS_PER_S = 1000
 READINESS_THREADS = 1
 READINESS_MAX_BODY_BYTES = 1024
 # Seconds of silence of the leader after which others serve callers better;
@@ -92,10 +98,28 @@
         )
         took_s = self._node.clock.now_s() - begun_s
         self._node.metrics.observe('gate.submit', took_s)
-        if not isinstance(reply, Proposed) or reply.outcome is None:
+        error: StepError | None = UNKNOWN
+        if isinstance(reply, Proposed) and reply.outcome is not None:
+            error = reply.outcome.error
+        else:
             self._node.metrics.count('gate.unknown')
-            return UNKNOWN
-        return reply.outcome.error
+        self._log(_describe(operation), error, took_s)
+        return error
+
+    def _log(
+        self,
+        subject: dict[str, object],
+        error: StepError | None,
+        took_s: float,
+    ) -> None:
+        logger.info(
+            'gate: answered',
+            **subject,
+            outcome=error.code.value if error else 'done',
+            detail=error.detail if error else '',
+            took_ms=round(took_s * MS_PER_S),
+            leader=self._node.calls.leader,
+        )
 
     def ask(
         self,
@@ -103,6 +127,7 @@
         timeout_s: float,
     ) -> WorkflowReply:
         """Ask about a workflow or a queue."""
+        begun_s = self._node.clock.now_s()
         reply = call_leader(
             self._node,
             lambda call_id: WorkflowQuery(
@@ -113,9 +138,14 @@
             ),
             timeout_s,
         )
-        if isinstance(reply, WorkflowReply):
-            return reply
-        return WorkflowReply(0, error=UNKNOWN)
+        if not isinstance(reply, WorkflowReply):
+            reply = WorkflowReply(0, error=UNKNOWN)
+        subject: dict[str, object] = {
+            'asked': query.workflow_id or query.path,
+            'status': reply.status or reply.pending_count,
+        }
+        self._log(subject, reply.error, self._node.clock.now_s() - begun_s)
+        return reply
 
     def ask_configuration(self, timeout_s: float) -> WorkflowReply:
         """Ask for the newest configuration of queues."""
@@ -140,6 +170,18 @@
         self._is_stopping = True
 
 
+def _describe(operation: Operation) -> dict[str, object]:
+    match operation:
+        case AcceptWorkflow(workflow_id=workflow_id):
+            return {'accept': workflow_id}
+        case CancelWorkflow(workflow_id=workflow_id):
+            return {'cancel': workflow_id}
+        case ReplaceQueues(configuration=configuration):
+            return {'replace': configuration.version}
+        case _:
+            return {'operation': type(operation).__name__}
+
+
 class WorkflowEntryPart:
     """An entry for workflows within a process."""
 
--- a/cumintack/daemon/workflow_guard_part.py
+++ b/cumintack/daemon/workflow_guard_part.py
@@ -161,7 +161,15 @@
         if not isinstance(message, RunOrders):
             return False
         now_s = self._node.clock.now_s()
+        former_term = self._runs.term
         if take_orders(self._runs, message, now_s):
+            if message.term != former_term:
+                logger.info(
+                    'guard: follows a leader',
+                    leader=sender,
+                    term=message.term,
+                    former_term=former_term,
+                )
             self._make_calls(now_s)
             self._wake.set()
         return True
--- a/cumintack/daemon/workflow_log.py
+++ b/cumintack/daemon/workflow_log.py
@@ -3,6 +3,7 @@
 import structlog
 
 from cumintack.coordination.runs.ordering import compute_objective_ms
+from cumintack.protocol.run_messages import RunKey
 from cumintack.state.workflows import (
     AcceptWorkflow,
     CancelWorkflow,
@@ -119,3 +120,19 @@
                 status=workflow.status.value,
                 took_ms=workflow.ended_at_ms - workflow.accepted_at_ms,
             )
+
+
+def log_stops(stopping: dict[RunKey, str], known: set[RunKey]) -> None:
+    """Log runs that are stopped so that they go on elsewhere.
+
+    Args:
+        stopping: All such runs with the reason.
+        known: Those that were logged before.
+    """
+    for key, reason in stopping.items():
+        if key not in known:
+            logger.info(
+                'control: stopping',
+                runs=[f'{key.task_id}/{key.run}'],
+                reason=reason,
+            )
