--- /dev/null
+++ b/cumintack/coordination/runs/ends.py
@@ -0,0 +1,52 @@
+"""Which runs are over, as far as one report of a guard can tell."""
+
+from cumintack.protocol.run_messages import LAPSED, RunKey, RunReport
+from cumintack.state.workflows import RunEnd, RunEndKind
+
+
+def split_run(key: RunKey) -> tuple[str, int]:
+    """Split a run into its task and its number.
+
+    Args:
+        key: The run.
+
+    Returns:
+        The identifier of the task, and the number.
+    """
+    return (key.task_id, key.run)
+
+
+class EndFinder:
+    """Tells from one report which runs are over."""
+
+    __slots__ = ('_closed', '_listed', '_present', '_report')
+
+    def __init__(self, report: RunReport) -> None:
+        """Sort what the report lists."""
+        self._report = report
+        self._listed = {ended.key: ended for ended in report.ended}
+        self._closed = {run.key: run.reason for run in report.closed}
+        self._present = {run.key for run in report.running}
+
+    def find(self, key: RunKey, lifetime: str) -> RunEnd | None:
+        """Return how a run on some life of the worker ended, if it did."""
+        reported = self._report.facts.lifetime
+        if lifetime == reported:
+            return self._find_own(key)
+        # A start that was on its way may have reached the new life.
+        is_absent = self._report.is_looked and key not in self._present
+        if lifetime < reported and is_absent:
+            return RunEnd(*split_run(key), RunEndKind.lost)
+        return None
+
+    def _find_own(self, key: RunKey) -> RunEnd | None:
+        ended = self._listed.get(key)
+        if ended is not None:
+            kind = RunEndKind(ended.kind)
+            return RunEnd(*split_run(key), kind, ended.checkpoint)
+        reason = self._closed.get(key)
+        if self._report.is_gone or reason == LAPSED:
+            return RunEnd(*split_run(key), RunEndKind.lost)
+        if reason is not None:
+            return RunEnd(*split_run(key), RunEndKind.refused)
+        return None
--- a/cumintack/coordination/runs/leading.py
+++ b/cumintack/coordination/runs/leading.py
@@ -8,12 +8,13 @@
 import msgspec
 
 from cumintack.coordination.effects import ProposeOwn, Send
+from cumintack.coordination.runs.ends import EndFinder, split_run
 from cumintack.coordination.runs.evacuation import list_evacuated
 from cumintack.coordination.runs.neighbours import (
     list_sights,
-    list_weights,
 )
 from cumintack.coordination.runs.moving import follow_starved
+from cumintack.coordination.runs.orders import OrderSource, create_orders
 from cumintack.coordination.runs.placing import (
     Pass,
     create_pass,
@@ -29,14 +30,10 @@
     WorkerView,
     add_task,
     compute_rooms,
+    list_placed,
 )
 from cumintack.protocol.run_messages import (
-    LAPSED,
-    EndedRun,
-    RunDetails,
     RunKey,
-    RunOrder,
-    RunOrders,
     RunReport,
 )
 from cumintack.state.workflows import (
@@ -46,9 +43,6 @@
     RunEnd,
     RunEndKind,
     RunStart,
-    TaskKey,
-    TaskRecord,
-    WorkflowStatus,
     WorkflowTables,
     get_step,
     get_task,
@@ -62,6 +56,9 @@
 SWEEP_INTERVAL_S = 0.1
 # Seconds between two sights of a worker; a figure covers half a second.
 LEARN_INTERVAL_S = 0.4
+# Seconds that a worker gets nothing new after it refused a run; what it
+# holds is then surely reported again.
+REFUSED_S = 0.3
 # Seconds added to the end of a lease before its runs count as over: clocks
 # of two machines that drift apart by 2% over a lease.
 LEASE_MARGIN_S = 0.3
@@ -187,18 +184,6 @@
         take_sight(lead.pressure, sight)
 
 
-def _iter_placed(
-    tables: WorkflowTables,
-    guard: str,
-) -> list[tuple[RunKey, TaskKey, TaskRecord]]:
-    placed = []
-    for task_id, key in tables.index.placed.get(guard, {}).items():
-        record = get_task(tables, key)
-        if record is not None:
-            placed.append((RunKey(task_id, record.run), key, record))
-    return placed
-
-
 def _find_ends(
     lead: RunLeadership,
     tables: WorkflowTables,
@@ -207,7 +192,7 @@
 ) -> list[RunEnd]:
     finder = EndFinder(report)
     ends = []
-    for key, _task, record in _iter_placed(tables, guard):
+    for key, _task, record in list_placed(tables, guard):
         found = finder.find(key, record.lifetime)
         if found is not None:
             checkpoint = found.checkpoint or _get_saved(lead, guard, key)
@@ -215,46 +200,6 @@
     return ends
 
 
-class EndFinder:
-    """Tells from one report which runs are over."""
-
-    __slots__ = ('_closed', '_listed', '_present', '_report')
-
-    def __init__(self, report: RunReport) -> None:
-        """Sort what the report lists."""
-        self._report = report
-        self._listed = {ended.key: ended for ended in report.ended}
-        self._closed = {run.key: run.reason for run in report.closed}
-        self._present = {run.key for run in report.running}
-
-    def find(self, key: RunKey, lifetime: str) -> RunEnd | None:
-        """Return how a run on some life of the worker ended, if it did."""
-        reported = self._report.facts.lifetime
-        if lifetime == reported:
-            return self._find_own(key)
-        # A start that was on its way may have reached the new life.
-        is_absent = self._report.is_looked and key not in self._present
-        if lifetime < reported and is_absent:
-            return RunEnd(*_split(key), RunEndKind.lost)
-        return None
-
-    def _find_own(self, key: RunKey) -> RunEnd | None:
-        ended = self._listed.get(key)
-        if ended is not None:
-            kind = RunEndKind(ended.kind)
-            return RunEnd(*_split(key), kind, ended.checkpoint)
-        reason = self._closed.get(key)
-        if self._report.is_gone or reason == LAPSED:
-            return RunEnd(*_split(key), RunEndKind.lost)
-        if reason is not None:
-            return RunEnd(*_split(key), RunEndKind.refused)
-        return None
-
-
-def _split(key: RunKey) -> tuple[str, int]:
-    return (key.task_id, key.run)
-
-
 def _get_saved(lead: RunLeadership, guard: str, key: RunKey) -> str:
     view = lead.views.get(guard)
     run = view.running.get(key) if view else None
@@ -296,11 +241,6 @@
         view.shunned_until_s = max(view.shunned_until_s, now_s + REFUSED_S)
 
 
-# Seconds that a worker gets nothing new after it refused a run; what it
-# holds is then surely reported again.
-REFUSED_S = 0.3
-
-
 def follow_applied(
     lead: RunLeadership,
     tables: WorkflowTables,
@@ -386,7 +326,7 @@
         lead.is_dirty = False
         effects.extend(_run_pass(lead, tables, now_s, now_ms))
     effects.extend(
-        _create_orders(lead, tables, guard)
+        _send_orders(lead, tables, lead.views[guard])
         for guard in lead.informed
         if guard in lead.views
     )
@@ -403,9 +343,9 @@
     for guard in tables.index.placed:
         if now_s <= _get_lease_bound(lead, guard):
             continue
-        for key, _task, _record in _iter_placed(tables, guard):
+        for key, _task, _record in list_placed(tables, guard):
             saved = _get_saved(lead, guard, key)
-            ends.append(RunEnd(*_split(key), RunEndKind.lost, saved))
+            ends.append(RunEnd(*split_run(key), RunEndKind.lost, saved))
     return ends
 
 
@@ -505,84 +445,21 @@
     return [ProposeOwn(RecordRuns(starts=tuple(starts)))]
 
 
-def _create_orders(
+def _send_orders(
     lead: RunLeadership,
     tables: WorkflowTables,
-    guard: str,
+    view: WorkerView,
 ) -> Send:
-    view = lead.views[guard]
     lead.number += 1
-    wanted = []
-    stops = []
-    for key, task, record in _iter_placed(tables, guard):
-        if record.lifetime != view.facts.lifetime:
-            continue
-        workflow = tables.workflows[task.step_key.workflow_id]
-        is_active = workflow.status is WorkflowStatus.active
-        if not is_active or key in lead.stopping:
-            stops.append(key)
-        elif key in view.known:
-            wanted.append(RunOrder(key))
-        else:
-            details = _create_details(tables, task, record)
-            wanted.append(RunOrder(key, details))
     view.granted_until_s = max(
         view.granted_until_s,
         view.heard_at_s + lead.settings.lease_s,
     )
-    orders = RunOrders(
+    source = OrderSource(
         lead.term,
         lead.number,
-        view.facts.lifetime,
-        view.sent_at_s,
         lead.settings.lease_s,
-        _get_settled(tables, view),
-        tuple(wanted),
-        tuple(stops),
-        list_weights(tables, view, lead.pressure),
-    )
-    return Send(guard, orders)
-
-
-def _create_details(
-    tables: WorkflowTables,
-    task: TaskKey,
-    record: TaskRecord,
-) -> RunDetails:
-    workflow = tables.workflows[task.step_key.workflow_id]
-    step = workflow.spec.steps[task.step_key.step]
-    return RunDetails(
-        workflow.spec.program,
-        record.checkpoint if step.is_checkpointed else '',
-        '',
-        step.is_filling,
-        step.target_ms,
-        step.image,
-        step.need.cores_milli,
+        lead.stopping,
+        lead.pressure,
     )
-
-
-def _get_settled(tables: WorkflowTables, view: WorkerView) -> int:
-    settled = 0
-    for ended in sorted(view.ended, key=_get_number):
-        if _is_open_run(tables, view, ended.key):
-            return settled
-        settled = ended.number
-    return settled
-
-
-def _get_number(ended: EndedRun) -> int:
-    return ended.number
-
-
-def _is_open_run(
-    tables: WorkflowTables,
-    view: WorkerView,
-    key: RunKey,
-) -> bool:
-    task_key = parse_task_id(key.task_id)
-    record = get_task(tables, task_key) if task_key else None
-    if record is None:
-        return False
-    is_same = record.run == key.run and record.guard == view.guard
-    return is_same and record.lifetime == view.facts.lifetime
+    return Send(view.guard, create_orders(source, tables, view))
--- /dev/null
+++ b/cumintack/coordination/runs/orders.py
@@ -0,0 +1,126 @@
+"""The orders for one worker: every run that should be there, and no other."""
+
+import msgspec
+
+from cumintack.coordination.runs.neighbours import list_weights
+from cumintack.coordination.runs.pressure import PressureModel
+from cumintack.coordination.runs.views import WorkerView, list_placed
+from cumintack.protocol.run_messages import (
+    EndedRun,
+    RunDetails,
+    RunKey,
+    RunOrder,
+    RunOrders,
+)
+from cumintack.state.workflows import (
+    TaskKey,
+    TaskRecord,
+    WorkflowStatus,
+    WorkflowTables,
+    get_task,
+    parse_task_id,
+)
+
+
+class OrderSource(msgspec.Struct, frozen=True):
+    """What orders are made from, besides the tables.
+
+    Attributes:
+        term: The term led.
+        number: Number of the orders within the term.
+        lease_s: Length of the lease that they give.
+        stopping: Runs that are stopped so that they go on elsewhere.
+        pressure: What was learned of pairs of images.
+    """
+
+    term: int
+    number: int
+    lease_s: float
+    stopping: dict[RunKey, str]
+    pressure: PressureModel
+
+
+def create_orders(
+    source: OrderSource,
+    tables: WorkflowTables,
+    view: WorkerView,
+) -> RunOrders:
+    """Create the orders for a worker.
+
+    Args:
+        source: What the leader adds.
+        tables: The workflows.
+        view: The worker.
+
+    Returns:
+        The orders, which answer its latest report.
+    """
+    wanted = []
+    stops = []
+    for key, task, record in list_placed(tables, view.guard):
+        if record.lifetime != view.facts.lifetime:
+            continue
+        workflow = tables.workflows[task.step_key.workflow_id]
+        is_active = workflow.status is WorkflowStatus.active
+        if not is_active or key in source.stopping:
+            stops.append(key)
+        elif key in view.known:
+            wanted.append(RunOrder(key))
+        else:
+            details = _create_details(tables, task, record)
+            wanted.append(RunOrder(key, details))
+    return RunOrders(
+        source.term,
+        source.number,
+        view.facts.lifetime,
+        view.sent_at_s,
+        source.lease_s,
+        _get_settled(tables, view),
+        tuple(wanted),
+        tuple(stops),
+        list_weights(tables, view, source.pressure),
+    )
+
+
+def _create_details(
+    tables: WorkflowTables,
+    task: TaskKey,
+    record: TaskRecord,
+) -> RunDetails:
+    workflow = tables.workflows[task.step_key.workflow_id]
+    step = workflow.spec.steps[task.step_key.step]
+    return RunDetails(
+        workflow.spec.program,
+        record.checkpoint if step.is_checkpointed else '',
+        '',
+        step.is_filling,
+        step.target_ms,
+        step.image,
+        step.need.cores_milli,
+    )
+
+
+def _get_settled(tables: WorkflowTables, view: WorkerView) -> int:
+    settled = 0
+    for ended in sorted(view.ended, key=_get_number):
+        if _is_open_run(tables, view, ended.key):
+            return settled
+        settled = ended.number
+    return settled
+
+
+def _get_number(ended: EndedRun) -> int:
+    return ended.number
+
+
+def _is_open_run(
+    tables: WorkflowTables,
+    view: WorkerView,
+    key: RunKey,
+) -> bool:
+    task_key = parse_task_id(key.task_id)
+    record = get_task(tables, task_key) if task_key else None
+    if record is None:
+        return False
+    is_same = record.run == key.run and record.guard == view.guard
+    return is_same and record.lifetime == view.facts.lifetime
--- a/cumintack/coordination/runs/views.py
+++ b/cumintack/coordination/runs/views.py
@@ -17,6 +17,8 @@
 from cumintack.state.workflows import (
     StepKey,
     StepSpec,
+    TaskKey,
+    TaskRecord,
     WorkflowTables,
     get_step,
     get_task,
@@ -149,6 +151,27 @@
     room.by_step[key] = room.by_step.get(key, 0) + 1
 
 
+def list_placed(
+    tables: WorkflowTables,
+    guard: str,
+) -> list[tuple[RunKey, TaskKey, TaskRecord]]:
+    """List the recorded runs beside a guard with their tasks.
+
+    Args:
+        tables: The workflows.
+        guard: The guard.
+
+    Returns:
+        Each run with its task and the record of that.
+    """
+    placed = []
+    for task_id, key in tables.index.placed.get(guard, {}).items():
+        record = get_task(tables, key)
+        if record is not None:
+            placed.append((RunKey(task_id, record.run), key, record))
+    return placed
+
+
 def list_runs(
     tables: WorkflowTables,
     view: WorkerView,
@@ -162,13 +185,10 @@
     Returns:
         Each run with what was asked for.
     """
-    found = []
-    for task_id, key in tables.index.placed.get(view.guard, {}).items():
-        record = get_task(tables, key)
-        if record is not None:
-            step = get_step(tables, key.step_key)
-            found.append((RunKey(task_id, record.run), step))
-    return found
+    return [
+        (key, get_step(tables, task.step_key))
+        for key, task, _record in list_placed(tables, view.guard)
+    ]
 
 
 def compute_rooms(
@@ -187,12 +207,9 @@
     rooms: dict[str, Room] = {}
     for guard, view in views.items():
         room = Room()
-        for task_id, key in tables.index.placed.get(guard, {}).items():
-            record = get_task(tables, key)
-            run_number = record.run if record else 0
-            run = view.running.get(RunKey(task_id, run_number))
-            step = get_step(tables, key.step_key)
-            add_task(room, key.step_key, step, run)
+        for key, task, _record in list_placed(tables, guard):
+            step = get_step(tables, task.step_key)
+            add_task(room, task.step_key, step, view.running.get(key))
         rooms[guard] = room
     return rooms
 
--- a/cumintack/state/workflows.py
+++ b/cumintack/state/workflows.py
@@ -33,7 +33,7 @@
         image: What the tasks run; tasks of one image behave alike.
         target_ms: Tail latency that a serving task must stay below.
         is_filling: Whether its processor share is what others leave unused.
-        may_miss: Tasks of a lasting step that may be away at once because
+        absence_limit: Tasks of a lasting step that may be away at once because
             of what the scheduler does; None for no limit.
     """
 
@@ -52,7 +52,7 @@
     image: str = ''
     target_ms: int = 0
     is_filling: bool = False
-    may_miss: int | None = None
+    absence_limit: int | None = None
 
 
 class Schedule(msgspec.Struct, frozen=True):
