--- a/cumintack/coordination/explanation.py
+++ b/cumintack/coordination/explanation.py
@@ -14,7 +14,7 @@
     (
         'control: leading',
         'control: following',
-        'control: stopping',
+        'control: handing over',
         'control: removing a silent member',
         'guard: follows a leader',
         'guard: worker left',
--- a/cumintack/daemon/control_part.py
+++ b/cumintack/daemon/control_part.py
@@ -657,7 +657,7 @@
         """Hand leadership over before the process ends."""
         now_s = self._node.clock.now_s()
         successor = replication.hand_over(self._replica, now_s)
-        logger.info('control: stopping', successor=successor)
+        logger.info('control: handing over', successor=successor)
         self._handing_over_until_s = now_s + HANDOVER_S
 
     def is_idle(self) -> bool:
