One clock for tests, one pass over what a look shows

Cause: reading the change: two tests had the same clock, and each run of a guard computed anew what its worker shows. Change: fake_clock_test.py; what is shown is computed once for a look.

--- a/cumintack/coordination/runs/worker_runs.py
+++ b/cumintack/coordination/runs/worker_runs.py
@@ -290,19 +290,16 @@
     runs.heard_at_s = look.answered_at_s
     runs.look = look
     has_news = known is None or known.ended != look.ended
+    shown = _get_running(runs) | _get_ended(runs)
     for key, progress in runs.progress.items():
-        has_news = _follow_look(runs, key, progress, look) or has_news
+        if key not in shown:
+            has_news = _follow_absence(progress, look) or has_news
     follow_figures(runs.pace, look.running, runs.details, look.answered_at_s)
     return has_news
 
 
-def _follow_look(
-    runs: WorkerRuns,
-    key: RunKey,
-    progress: RunProgress,
-    look: Look,
-) -> bool:
-    if progress.closed or key in _get_running(runs) | _get_ended(runs):
+def _follow_absence(progress: RunProgress, look: Look) -> bool:
+    if progress.closed:
         return False
     stopped_at_s = progress.stopped_at_s
     if stopped_at_s is not None and look.sent_at_s > stopped_at_s:
--- a/cumintack/daemon/logs_test.py
+++ b/cumintack/daemon/logs_test.py
@@ -1,6 +1,5 @@
 """Logs never hold up the process, whatever becomes of their reader."""
 
-import datetime
 import json
 import os
 
@@ -14,26 +13,11 @@
     BoundedWriter,
     configure_logs,
 )
+from cumintack.transport.fake_clock_test import SteppedClock
 
 PIPE_LINES = 1500
 
 
-class FixedClock:
-    """A clock that shows what it was set to."""
-
-    def __init__(self) -> None:
-        """Start at zero."""
-        self.at_s = 0.0
-
-    def now_s(self) -> float:
-        """Return monotonic time in seconds."""
-        return self.at_s
-
-    def wall(self) -> datetime.datetime:
-        """Return wall time in UTC."""
-        return datetime.datetime.fromtimestamp(self.at_s, datetime.UTC)
-
-
 def _read_lines(reader: int) -> list[dict[str, object]]:
     os.set_blocking(reader, False)
     parts = []
@@ -47,7 +31,7 @@
 def test_slow_reader_costs_lines_not_time() -> None:
     """A full pipe drops lines; the next one says how many."""
     reader, descriptor = os.pipe()
-    writer = BoundedWriter(descriptor, FixedClock())
+    writer = BoundedWriter(descriptor, SteppedClock())
     line = json.dumps({'event': 'x', 'text': 'y' * 1000})
     for _ in range(PIPE_LINES):
         writer.write(line)
@@ -82,7 +66,7 @@
 def test_rate_is_bounded() -> None:
     """Lines over the rate are dropped; time gives new ones."""
     reader, descriptor = os.pipe()
-    clock = FixedClock()
+    clock = SteppedClock()
     writer = BoundedWriter(descriptor, clock)
     for _ in range(int(BURST_LINES) + 5):
         writer.write('{}')
@@ -102,7 +86,7 @@
 def test_long_line_stays_readable() -> None:
     """A line over the limit is cut into a shorter object."""
     reader, descriptor = os.pipe()
-    BoundedWriter(descriptor, FixedClock()).write(
+    BoundedWriter(descriptor, SteppedClock()).write(
         json.dumps({'event': 'x', 'text': 'y' * MAX_LINE_BYTES}),
     )
     assert _read_lines(reader)[0]['event'] == 'logs: line cut'
--- a/cumintack/transport/links_test.py
+++ b/cumintack/transport/links_test.py
@@ -1,6 +1,5 @@
 """Links over real sockets: keys, strangers, bad bytes, silent peers."""
 
-import datetime
 import pathlib
 import time
 
@@ -11,6 +10,7 @@
 from cumintack.protocol.messages import Goodbye
 from cumintack.state.events import EventRing
 from cumintack.transport.clock import SystemClock
+from cumintack.transport.fake_clock_test import SteppedClock
 from cumintack.transport.http_server import find_free_port
 from cumintack.transport.keys import LinkKeys, create_key_files, load_keys
 from cumintack.transport.links import SILENT_AFTER_S, Links
@@ -20,22 +20,6 @@
 SILENT_STEPS = 8
 
 
-class SteppedClock:
-    """A clock that moves when it is told to."""
-
-    def __init__(self) -> None:
-        """Start at zero."""
-        self.at_s = 0.0
-
-    def now_s(self) -> float:
-        """Return monotonic time in seconds."""
-        return self.at_s
-
-    def wall(self) -> datetime.datetime:
-        """Return wall time in UTC."""
-        return datetime.datetime.fromtimestamp(self.at_s, datetime.UTC)
-
-
 def _create(name: str, keys: LinkKeys | None) -> Links:
     return Links(name, 'i1', SystemClock(), EventRing(name, 10), keys)
 
