Pressure is learned from departures of margins; unknown pairs start slowly

Change: the margin (target over latency) is fitted, and only what departs from the mean of the last 0.7 s; one standard error is taken off. A pair that is not learned starts at a quarter of its speed, paced right after its start. A task over its target for 0.9 s is relieved of all that fills beside it.

--- a/cumintack/coordination/runs/leading.py
+++ b/cumintack/coordination/runs/leading.py
@@ -23,6 +23,7 @@
 from cumintack.coordination.runs.pressure import (
     PressureModel,
     fit,
+    forget_unseen,
     take_sight,
 )
 from cumintack.coordination.runs.trust import take_failure, take_success
@@ -181,7 +182,7 @@
         return
     view.learned_at_s = now_s
     for sight in list_sights(tables, view):
-        take_sight(lead.pressure, sight)
+        take_sight(lead.pressure, sight, now_s)
 
 
 def _find_ends(
@@ -319,6 +320,7 @@
         effects.extend(_begin_due(tables, now_ms))
         _evacuate(lead, tables, now_s)
         fit(lead.pressure)
+        forget_unseen(lead.pressure, now_s)
         _move_starved(lead, tables, now_s)
         lead.is_dirty = lead.is_dirty or bool(tables.index.waiting)
     if lead.is_dirty and now_s >= lead.pass_at_s:
--- a/cumintack/coordination/runs/neighbours.py
+++ b/cumintack/coordination/runs/neighbours.py
@@ -5,13 +5,15 @@
     PressureModel,
     Sight,
     get_weight,
+    is_learned,
 )
 from cumintack.coordination.runs.views import WorkerView, list_runs
 from cumintack.protocol.run_messages import PairWeight
 from cumintack.state.workflows import WorkflowTables
 
-# Weights under it are sent as 0: a hundred cores would not fill the room.
-LEAST_WEIGHT = 0.003
+# Weights under it are sent as 0: a hundred cores take a tenth of the margin
+# that a task has without load.
+LEAST_WEIGHT = 0.005
 WEIGHT_DIGITS = 3
 
 
@@ -35,8 +37,8 @@
             used = run.figure / MILLI
             cores[step.image] = cores.get(step.image, 0) + used
         elif step.target_ms and run.figure:
-            serving.append((step.image, run.figure / step.target_ms))
-    return [Sight(image, share, cores) for image, share in serving]
+            serving.append((key, step.image, step.target_ms / run.figure))
+    return [Sight(*serving_run, cores) for serving_run in serving]
 
 
 def list_weights(
@@ -52,7 +54,7 @@
         pressure: What was learned.
 
     Returns:
-        The weight of each pair of images placed there.
+        The weight of each pair of images placed there that is learned.
     """
     serving: dict[str, None] = {}
     filling: dict[str, None] = {}
@@ -65,6 +67,7 @@
         PairWeight(left, right, _round(get_weight(pressure, left, right)))
         for left in serving
         for right in filling
+        if is_learned(pressure, left, right)
     )
 
 
--- a/cumintack/coordination/runs/pacing.py
+++ b/cumintack/coordination/runs/pacing.py
@@ -16,23 +16,36 @@
 
 # Percent; a filling task starts at it and is never asked for more.
 FULL_PERCENT = 100
-# Share of the target that pacing aims at; figures are rough and half a
-# second old.
-AIM_SHARE = 0.75
-# Share of the target from which an image is slowed.
-HIGH_SHARE = 0.85
-# Share of the target under which it is given speed back.
-LOW_SHARE = 0.7
+# Target over tail latency that pacing aims at; figures are rough and half a
+# second old. At 1 a task is at its target.
+AIM_MARGIN = 1.35
+# Margin of a task that shows no latency; no load was seen with more.
+IDLE_MARGIN = 5.0
+# Margin up to which an image is slowed.
+SHORT_MARGIN = 1.18
+# Margin above which it is given speed back.
+WIDE_MARGIN = 1.45
 # Most percent points given back at a step.
 MAX_RAISE_PERCENT = 25.0
 # Percent points of a step that the weights do not justify.
 LEAST_STEP_PERCENT = 8.0
 # Factor for all images where no weight explains a disturbance.
-BLIND_FACTOR = 0.5
-# Share of a task's room that makes an image count as pressing it.
-LEAST_PRESSURE = 0.02
+BLIND_FACTOR = 0.3
+# Seconds over its target after which a serving image is relieved of all that
+# fills beside it, step by step: five steps end far below the 4 s that are the
+# most allowed.
+PATIENCE_S = 0.9
+# Margin that an image must take from a task to count as pressing it; an idle
+# task has about 5.
+LEAST_PRESSURE = 0.1
 # Seconds between two changes; a figure covers the last half second.
 STEP_S = 0.5
+# Pace of an image beside a serving image with which it was never seen. At
+# full speed the heaviest pairs seen take twice the margin of an idle task; a
+# tenth of it stays within what most serving tasks have.
+PROBE_PERCENT = 25.0
+# Most by which such a pace grows at a step: two steps reach full speed.
+PROBE_FACTOR = 3.2
 # A pace under this is not worth its calls and becomes 0.
 LEAST_PERCENT = 5.0
 MILLI = 1000
@@ -43,14 +56,19 @@
 
     Attributes:
         percents: The pace of each filling image.
-        weights: Share of the target that a core takes, by serving and
-            filling image.
+        weights: Margin that a core takes, by serving and filling image; only
+            of pairs that were learned.
+        before: Margin that a serving image had when a filling image came
+            that had not been learned, by pair.
+        over_since_s: Since when a serving image is over its target.
         changed_at_s: When they were last changed.
         sent: The pace last sent for each run.
     """
 
     percents: dict[str, float] = {}
     weights: dict[tuple[str, str], float] = {}
+    before: dict[tuple[str, str], float] = {}
+    over_since_s: dict[str, float] = {}
     changed_at_s: float = float('-inf')
     sent: dict[RunKey, int] = {}
 
@@ -59,13 +77,13 @@
     """What runs on a worker, as far as pacing is concerned.
 
     Attributes:
-        shares: Latency as a share of the target, by serving image; the
-            worst task of each.
+        margins: Target over tail latency, by serving image; the worst task
+            of each.
         cores: Processor time in use, by filling image.
         full_cores: Processor time at full pace, by filling image.
     """
 
-    shares: dict[str, float] = {}
+    margins: dict[str, float] = {}
     cores: dict[str, float] = {}
     full_cores: dict[str, float] = {}
 
@@ -90,8 +108,9 @@
             continue
         image = known.image
         if known.target_ms:
-            share = run.figure / known.target_ms
-            found.shares[image] = max(share, found.shares.get(image, 0))
+            margin = known.target_ms / run.figure if run.figure else IDLE_MARGIN
+            worst = found.margins.get(image, IDLE_MARGIN)
+            found.margins[image] = min(margin, worst)
         elif known.is_filling:
             used = run.figure / MILLI
             full = known.need_milli / MILLI
@@ -128,30 +147,120 @@
     if now_s - state.changed_at_s < STEP_S:
         return
     found = sort_running(running, details)
+    _forget_absent(state, found)
     if not found.cores:
-        state.percents.clear()
         return
     state.changed_at_s = now_s
     slowed: set[str] = set()
-    for serving, share in found.shares.items():
-        if share >= HIGH_SHARE:
-            slowed |= _slow(state, found, serving, share)
+    for serving, margin in found.margins.items():
+        if margin <= SHORT_MARGIN:
+            slowed |= _slow(state, found, serving, margin)
+    if _get_over_s(state, found, now_s) >= PATIENCE_S:
+        # What was learned does not explain it, or not all of it.
+        for image in found.cores:
+            _set_percent(
+                state, image, _get_percent(state, image) * BLIND_FACTOR
+            )
+        slowed |= set(found.cores)
     for filling in found.full_cores:
         if filling not in slowed:
             _speed_up(state, found, filling)
 
 
+def _get_over_s(state: PaceState, found: Neighbours, now_s: float) -> float:
+    """Return for how long a serving image has been over its target."""
+    state.over_since_s = {
+        serving: state.over_since_s.get(serving, now_s)
+        for serving, margin in found.margins.items()
+        if margin < 1
+    }
+    return now_s - min(state.over_since_s.values(), default=now_s)
+
+
+def _forget_absent(state: PaceState, found: Neighbours) -> None:
+    for image in list(state.percents):
+        if image not in found.full_cores:
+            state.percents.pop(image)
+    for pair in list(state.before):
+        if pair[1] not in found.full_cores:
+            state.before.pop(pair)
+
+
+def admit_runs(
+    state: PaceState,
+    running: tuple[RunningRun, ...],
+    details: dict[RunKey, RunDetails],
+    fresh: list[RunDetails],
+) -> None:
+    """Choose the paces of filling images that get more runs.
+
+    An image that was never seen beside one of the serving images starts at a
+    small share of its speed, so that a pair that goes badly together is found
+    out before anybody waits for it.
+
+    Args:
+        state: The paces, changed in place.
+        running: What runs on the worker.
+        details: What is known of the runs.
+        fresh: Filling runs that are about to start.
+    """
+    found = sort_running(running, details)
+    for run in fresh:
+        full = found.full_cores.get(run.image, 0)
+        found.full_cores[run.image] = full + run.need_milli / MILLI
+    for image in dict.fromkeys(started.image for started in fresh):
+        allowed = _get_percent(state, image)
+        for serving, margin in found.margins.items():
+            limit = _compute_limit(state, found, serving, margin, image)
+            allowed = min(allowed, limit)
+        _set_percent(state, image, allowed)
+
+
+def _compute_limit(
+    state: PaceState,
+    found: Neighbours,
+    serving: str,
+    margin: float,
+    filling: str,
+) -> float:
+    pair = (serving, filling)
+    weight = state.weights.get(pair)
+    if weight is None:
+        state.before.setdefault(pair, margin)
+        return PROBE_PERCENT
+    pressure = weight * found.full_cores[filling]
+    if pressure < LEAST_PRESSURE:
+        return FULL_PERCENT
+    alone = margin + weight * found.cores.get(filling, 0)
+    return max(0, (alone - AIM_MARGIN) / pressure * FULL_PERCENT)
+
+
+def _compute_pressure(
+    state: PaceState,
+    found: Neighbours,
+    serving: str,
+    filling: str,
+) -> float:
+    """Return the margin that an image takes at its present pace."""
+    pair = (serving, filling)
+    weight = state.weights.get(pair)
+    if weight is None:
+        margin = found.margins[serving]
+        return max(0, state.before.get(pair, margin) - margin)
+    return weight * found.cores.get(filling, 0)
+
+
 def _slow(
     state: PaceState,
     found: Neighbours,
     serving: str,
-    share: float,
+    margin: float,
 ) -> set[str]:
     pressures = {
-        filling: state.weights.get((serving, filling), 0) * cores
-        for filling, cores in found.cores.items()
+        filling: _compute_pressure(state, found, serving, filling)
+        for filling in found.cores
     }
-    excess = share - AIM_SHARE
+    excess = AIM_MARGIN - margin
     slowed: set[str] = set()
     for filling in sorted(pressures, key=pressures.__getitem__, reverse=True):
         pressure = pressures[filling]
@@ -174,19 +283,53 @@
     percent = _get_percent(state, filling)
     if percent >= FULL_PERCENT:
         return
-    raised = MAX_RAISE_PERCENT
-    for serving, share in found.shares.items():
-        weight = state.weights.get((serving, filling), 0)
-        pressure = weight * found.full_cores[filling]
-        if pressure < LEAST_PRESSURE:
-            continue
-        if share >= LOW_SHARE:
-            return
-        room = (AIM_SHARE - share) / pressure * FULL_PERCENT
-        raised = min(raised, max(LEAST_STEP_PERCENT, room))
+    raised = FULL_PERCENT - percent
+    for serving, margin in found.margins.items():
+        if state.weights.get((serving, filling)) is None:
+            room = _compute_probe_raise(
+                state, serving, margin, filling, percent
+            )
+        else:
+            room = _compute_raise(state, found, serving, margin, filling)
+        raised = min(raised, room)
     _set_percent(state, filling, percent + raised)
 
 
+def _compute_raise(
+    state: PaceState,
+    found: Neighbours,
+    serving: str,
+    margin: float,
+    filling: str,
+) -> float:
+    weight = state.weights[(serving, filling)]
+    pressure = weight * found.full_cores[filling]
+    if pressure < LEAST_PRESSURE:
+        return FULL_PERCENT
+    if margin <= WIDE_MARGIN:
+        return 0
+    room = (margin - AIM_MARGIN) / pressure * FULL_PERCENT
+    return min(MAX_RAISE_PERCENT, max(LEAST_STEP_PERCENT, room))
+
+
+def _compute_probe_raise(
+    state: PaceState,
+    serving: str,
+    margin: float,
+    filling: str,
+    percent: float,
+) -> float:
+    if margin <= WIDE_MARGIN:
+        return 0
+    before = state.before.setdefault((serving, filling), margin)
+    probed = max(PROBE_PERCENT, percent)
+    taken = before - margin
+    factor = PROBE_FACTOR
+    if taken > LEAST_PRESSURE:
+        factor = min(factor, (before - AIM_MARGIN) / taken)
+    return max(0, probed * factor - percent)
+
+
 def _get_percent(state: PaceState, filling: str) -> float:
     return state.percents.get(filling, FULL_PERCENT)
 
@@ -198,23 +341,23 @@
 
 def compute_paces(
     state: PaceState,
-    running: tuple[RunningRun, ...],
+    present: set[RunKey],
     details: dict[RunKey, RunDetails],
 ) -> dict[RunKey, int]:
     """Compute the paces that have to be sent.
 
     Args:
         state: The paces.
-        running: What runs on the worker.
+        present: Runs that the worker has started.
         details: What is known of the runs.
 
     Returns:
         The percent for each run whose pace is not the one last sent.
     """
     wished = {
-        run.key: round(_get_percent(state, details[run.key].image))
-        for run in running
-        if run.key in details and details[run.key].is_filling
+        key: round(_get_percent(state, details[key].image))
+        for key in present
+        if key in details and details[key].is_filling
     }
     for known in list(state.sent):
         if known not in wished:
--- a/cumintack/coordination/runs/placing.py
+++ b/cumintack/coordination/runs/placing.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from cumintack.coordination.runs.ordering import rank_step
-from cumintack.coordination.runs.pacing import AIM_SHARE, LEAST_PRESSURE
+from cumintack.coordination.runs.pacing import AIM_MARGIN, LEAST_PRESSURE
 from cumintack.coordination.runs.pressure import (
     MILLI,
     PressureModel,
@@ -252,12 +252,12 @@
     cores = step.need.cores_milli / MILLI
     unused = compute_unused(site.view, site.room) / MILLI
     speed = min(1, unused / cores) if cores else 1
-    for image, share in site.room.serving:
+    for image, margin in site.room.serving:
         weight = get_weight(current.pressure, image, step.image)
         pressure = weight * cores
         if pressure < LEAST_PRESSURE:
             continue
-        room = AIM_SHARE - share
+        room = margin - AIM_MARGIN
         for fresh, fresh_cores in site.room.fresh_cores.items():
             room -= get_weight(current.pressure, image, fresh) * fresh_cores
         speed = min(speed, room / pressure)
@@ -302,7 +302,7 @@
     which disturb nobody there.
     """
     score = -float(compute_free(site.view, site.room).cores_milli)
-    images = {image for image, _share in site.room.serving}
+    images = {image for image, _margin in site.room.serving}
     if not images:
         score -= WEIGHT_OPEN
     if step.image in images:
--- a/cumintack/coordination/runs/pressure.py
+++ b/cumintack/coordination/runs/pressure.py
@@ -1,87 +1,169 @@
 """How much a filling task slows the serving tasks beside it.
 
 The slowdown differs by pair of images and is learned from what all workers
-report: the tail latency of a serving task, as a share of its target, against
-the processor time that filling tasks of each image use beside it. One least
-squares fit for each serving image, with a decaying memory and without
-negative weights, costs little and follows changes within seconds.
+report. A serving task is a queue: its tail latency grows beyond bounds as its
+load comes near one, and the load grows evenly with what disturbs it. Its
+margin, which is the target over the tail latency, falls evenly with its load,
+so that margins can be fitted by a straight line where latencies can't. The
+load also swings by itself, slower than tasks come and go; only what departs
+from the mean of the last second is therefore compared.
 """
 
+import math
+
 import msgspec
 
-# Weight that is assumed before anything is seen: share of a target for each
-# core; ten cores of an unknown image take a fifth of the room.
-PRIOR_WEIGHT = 0.02
-# How much the assumption counts, in squared cores; about two sights of five
-# cores.
-PRIOR_STRENGTH = 50.0
+from cumintack.protocol.run_messages import RunKey
+
+# Weight that is assumed before anything is seen, in margin for each core: a
+# task of ten cores takes a fifth of the way from no load to the target.
+PRIOR_WEIGHT = 0.03
+# Squared cores by which a fit is pulled to zero while little was seen: the
+# variance of a margin over 0.4 s (0.06) by that of the weights (0.005).
+PRIOR_STRENGTH = 12.0
+# Standard deviation of a margin over 0.4 s, from the swings of quiet days.
+NOISE_MARGIN = 0.25
+# Squared cores seen beside a serving image from which a pair counts as
+# learned: one start of six cores. The error is then 0.05 for each core.
+LEARNED_STRENGTH = 30.0
 # Share of its value that a sight loses with each later one of the image; half
-# is forgotten after 350, which take 10 to 20 s.
-DECAY = 0.998
+# is forgotten after 1,400, about a minute.
+DECAY = 0.9995
 # Passes over the weights at a fit, which starts from the last fit.
 FIT_PASSES = 4
-# Name of the constant term among the images.
-CONSTANT = ''
+# Seconds over which a mean forgets. Weights fitted to two plays of one day
+# agree best with it: correlation 0.77 to 0.84, with 3 s 0.3 to 0.6.
+MEAN_S = 0.7
+# Seconds after which the mean of a run that was not seen is dropped.
+FORGET_S = 5.0
 MILLI = 1000
+HALF = 0.5
 
 
 class ServingImage(msgspec.Struct):
     """Sums over the sights of one serving image.
 
     Attributes:
-        products: Decayed sums of products of two amounts.
-        targets: Decayed sums of an amount times the latency share.
-        weights: The latest fit.
+        products: Decayed sums of products of two amounts of cores.
+        losses: Decayed sums of an amount of cores times the loss of margin.
+        weights: The latest fit, in margin for each core.
     """
 
     products: dict[tuple[str, str], float] = {}
-    targets: dict[str, float] = {}
+    losses: dict[str, float] = {}
     weights: dict[str, float] = {}
 
 
+class Mean(msgspec.Struct):
+    """Running means of one serving run.
+
+    Attributes:
+        at_s: When it was last seen.
+        margin: Mean of its margin.
+        cores: Mean processor time beside it, by filling image.
+        latest: Processor time beside it when it was last seen.
+    """
+
+    at_s: float
+    margin: float
+    cores: dict[str, float]
+    latest: dict[str, float]
+
+
 class PressureModel(msgspec.Struct):
-    """What was learned, by serving image."""
+    """What was learned, by serving image, and means by serving run."""
 
     images: dict[str, ServingImage] = {}
+    means: dict[RunKey, Mean] = {}
 
 
 class Sight(msgspec.Struct, frozen=True):
-    """What was seen of one serving task at one time.
+    """What was seen of one serving run at one time.
 
     Attributes:
+        key: The run.
         image: Its image.
-        share: Its tail latency as a share of its target.
+        margin: Its target over its tail latency.
         cores: Processor time of the filling tasks beside it, by image.
     """
 
+    key: RunKey
     image: str
-    share: float
+    margin: float
     cores: dict[str, float]
 
 
-def take_sight(model: PressureModel, sight: Sight) -> None:
+def take_sight(model: PressureModel, sight: Sight, now_s: float) -> None:
     """Learn from a sight.
 
     Args:
         model: What was learned, changed in place.
         sight: What was seen.
+        now_s: The time.
     """
+    mean = model.means.get(sight.key)
+    if mean is None:
+        model.means[sight.key] = Mean(
+            now_s,
+            sight.margin,
+            sight.cores,
+            sight.cores,
+        )
+        return
+    loss = mean.margin - sight.margin
+    # A tail latency follows what happens beside it half a sight later.
+    cores = _combine(sight.cores, mean.latest, HALF, HALF)
+    mean.latest = sight.cores
+    amounts = _combine(cores, mean.cores, 1, -1)
+    gain = 1 - math.exp((mean.at_s - now_s) / MEAN_S)
+    mean.at_s = now_s
+    mean.margin -= gain * loss
+    mean.cores = _combine(mean.cores, amounts, 1, gain)
     serving = model.images.setdefault(sight.image, ServingImage())
-    amounts = {CONSTANT: 1.0, **sight.cores}
+    _add(serving, amounts, loss)
+
+
+def _combine(
+    left: dict[str, float],
+    right: dict[str, float],
+    left_factor: float,
+    right_factor: float,
+) -> dict[str, float]:
+    combined = {image: left_factor * cores for image, cores in left.items()}
+    for image, cores in right.items():
+        combined[image] = combined.get(image, 0) + right_factor * cores
+    return combined
+
+
+def _add(
+    serving: ServingImage,
+    amounts: dict[str, float],
+    loss: float,
+) -> None:
     for known_pair in serving.products:
         serving.products[known_pair] *= DECAY
-    for image in serving.targets:
-        serving.targets[image] *= DECAY
+    for image in serving.losses:
+        serving.losses[image] *= DECAY
     for left, amount in amounts.items():
-        serving.targets[left] = (
-            serving.targets.get(left, 0) + amount * sight.share
-        )
+        serving.losses[left] = serving.losses.get(left, 0) + amount * loss
         for right, other in amounts.items():
             pair = (left, right)
             known = serving.products.get(pair, 0)
             serving.products[pair] = known + amount * other
 
 
+def forget_unseen(model: PressureModel, now_s: float) -> None:
+    """Drop the means of runs that are gone.
+
+    Args:
+        model: What was learned, changed in place.
+        now_s: The time.
+    """
+    for key, mean in list(model.means.items()):
+        if now_s - mean.at_s > FORGET_S:
+            model.means.pop(key)
+
+
 def fit(model: PressureModel) -> None:
     """Fit the weights to what was seen.
 
@@ -90,23 +172,22 @@
     """
     for serving in model.images.values():
         for _ in range(FIT_PASSES):
-            for image in serving.targets:
+            for image in serving.losses:
                 serving.weights[image] = _fit_one(serving, image)
 
 
 def _fit_one(serving: ServingImage, image: str) -> float:
-    rest = serving.targets[image]
+    rest = serving.losses[image]
     for other, weight in serving.weights.items():
         if other != image:
             rest -= serving.products.get((image, other), 0) * weight
-    strength = 0.0 if image == CONSTANT else PRIOR_STRENGTH
-    rest += strength * PRIOR_WEIGHT
-    square = serving.products[(image, image)] + strength
-    return max(0, rest / square)
+    square = serving.products[(image, image)] + PRIOR_STRENGTH
+    # One standard error is taken off, so that noise is not taken for pressure.
+    return max(0, rest - NOISE_MARGIN * math.sqrt(square)) / square
 
 
 def get_weight(model: PressureModel, serving: str, filling: str) -> float:
-    """Get how much of a target one core of an image takes.
+    """Get how much margin one core of an image takes.
 
     Args:
         model: What was learned.
@@ -114,9 +195,26 @@
         filling: The filling image.
 
     Returns:
-        The share of the target for each core.
+        The margin for each core.
     """
     known = model.images.get(serving)
     if known is None:
         return PRIOR_WEIGHT
     return known.weights.get(filling, PRIOR_WEIGHT)
+
+
+def is_learned(model: PressureModel, serving: str, filling: str) -> bool:
+    """Tell whether enough was seen of a pair to rely on its weight.
+
+    Args:
+        model: What was learned.
+        serving: The serving image.
+        filling: The filling image.
+
+    Returns:
+        False while the weight is mostly an assumption.
+    """
+    known = model.images.get(serving)
+    if known is None:
+        return False
+    return known.products.get((filling, filling), 0) >= LEARNED_STRENGTH
--- /dev/null
+++ b/cumintack/coordination/runs/pressure_test.py
@@ -0,0 +1,110 @@
+"""Pairs that go badly together are told from those that do not.
+
+The loads here swing by themselves, as those of real services do, and filling
+tasks come and go beside them. A serving task is a queue whose latency grows
+beyond bounds as its load comes near one.
+"""
+
+import math
+import random
+
+from cumintack.coordination.runs.pressure import (
+    PressureModel,
+    Sight,
+    fit,
+    get_weight,
+    is_learned,
+    take_sight,
+)
+from cumintack.protocol.run_messages import RunKey
+
+HEAVY = 'heavy'
+LIGHT = 'light'
+SERVING = 'desk'
+# Load that a core of each image adds to a serving task.
+LOADS = {HEAVY: 0.03, LIGHT: 0.0}
+CORES = 7.0
+SIGHT_S = 0.4
+# Margin of an idle task, and the least that a full queue shows.
+IDLE_MARGIN = 5.0
+LEAST_MARGIN = 0.1
+# Margin that a core of the heavy image takes.
+TRUE_WEIGHT = IDLE_MARGIN * LOADS[HEAVY]
+
+
+class Worker:
+    """One serving task, with filling tasks that come and go beside it."""
+
+    def __init__(self, rng: random.Random, number: int) -> None:
+        """Start without filling tasks, at some point of the swing."""
+        self.key = RunKey(f'0123456789abcdef.0.0.{number}', 1)
+        self.cores = {HEAVY: 0.0, LIGHT: 0.0}
+        self.before = dict(self.cores)
+        self._rng = rng
+        self._phase = rng.random() * math.tau
+
+    def step(self, now_s: float) -> Sight:
+        """Let tasks come and go, and return what is seen."""
+        load = 0.45 * (1 + 0.5 * math.sin(now_s * math.tau / 14 + self._phase))
+        load += sum(
+            added * (self.cores[image] + self.before[image]) / 2
+            for image, added in LOADS.items()
+        )
+        self.before = dict(self.cores)
+        for changed in self.cores:
+            if not self._rng.randrange(10):
+                count = self._rng.randrange(3)
+                self.cores[changed] = count * CORES
+        margin = max(LEAST_MARGIN, IDLE_MARGIN * (1 - load))
+        margin *= self._rng.uniform(0.95, 1.05)
+        return Sight(self.key, SERVING, margin, dict(self.before))
+
+
+def _learn(seed: int, seconds: float) -> PressureModel:
+    rng = random.Random(seed)
+    model = PressureModel()
+    workers = [Worker(rng, number) for number in range(4)]
+    for step in range(int(seconds / SIGHT_S)):
+        for worker in workers:
+            now_s = step * SIGHT_S
+            take_sight(model, worker.step(now_s), now_s)
+        fit(model)
+    return model
+
+
+def test_heavy_pair_is_told_from_light_one() -> None:
+    """After 20 s of four workers a weight is known within a factor of two."""
+    for seed in range(20):
+        model = _learn(seed, 20)
+        heavy = get_weight(model, SERVING, HEAVY)
+        light = get_weight(model, SERVING, LIGHT)
+        assert TRUE_WEIGHT / 2 < heavy < TRUE_WEIGHT * 2, seed
+        assert light < TRUE_WEIGHT / 2, seed
+
+
+def test_nothing_is_learned_without_change() -> None:
+    """A filling task that is there all the time says nothing of a pair."""
+    model = PressureModel()
+    for step in range(50):
+        sight = Sight(
+            RunKey('0123456789abcdef.0.0.0', 1),
+            SERVING,
+            2.0,
+            {HEAVY: CORES},
+        )
+        take_sight(model, sight, step * SIGHT_S)
+    fit(model)
+    assert not is_learned(model, SERVING, HEAVY)
+
+
+def test_pair_counts_as_learned_after_a_start() -> None:
+    """One start of a task beside a serving one is enough to rely on."""
+    model = PressureModel()
+    key = RunKey('0123456789abcdef.0.0.0', 1)
+    for step in range(10):
+        cores = {HEAVY: CORES} if step > 4 else {}
+        sight = Sight(key, SERVING, 2.0, cores)
+        take_sight(model, sight, step * SIGHT_S)
+    fit(model)
+    assert is_learned(model, SERVING, HEAVY)
+    assert not is_learned(model, SERVING, LIGHT)
--- a/cumintack/coordination/runs/views.py
+++ b/cumintack/coordination/runs/views.py
@@ -29,8 +29,8 @@
 UNHEARD_AFTER_S = 1.5
 # Share of what serving tasks reserve that they use, with their swings.
 SERVING_SHARE = 0.6
-# Latency share assumed of a serving task that is not at work yet.
-UNSEEN_SHARE = 0.4
+# Margin assumed of a serving task that is not at work yet: half its load.
+UNSEEN_MARGIN = 2.5
 MILLI = 1000
 # Start of the label that names a rack.
 RACK_MARK = 'r'
@@ -79,8 +79,8 @@
         reserved: Resources that the worker counts against what it holds.
         filling_milli: Processor share that filling tasks would like.
         serving_milli: Processor share that serving tasks reserved.
-        serving: Latency of each serving task as a share of its target,
-            with its image.
+        serving: Image of each serving task, with its target over its
+            latency.
         fresh_cores: Processor time of filling tasks that the latencies do
             not show yet, by image.
         by_step: Tasks of each step.
@@ -145,8 +145,10 @@
             known = room.fresh_cores.get(step.image, 0)
             room.fresh_cores[step.image] = known + cores
     if step.target_ms:
-        share = run.figure / step.target_ms if run else UNSEEN_SHARE
-        room.serving.append((step.image, share))
+        margin = UNSEEN_MARGIN
+        if run is not None and run.figure:
+            margin = step.target_ms / run.figure
+        room.serving.append((step.image, margin))
         room.serving_milli += step.need.cores_milli
     room.by_step[key] = room.by_step.get(key, 0) + 1
 
--- a/cumintack/coordination/runs/worker_runs.py
+++ b/cumintack/coordination/runs/worker_runs.py
@@ -10,6 +10,7 @@
 
 from cumintack.coordination.runs.pacing import (
     PaceState,
+    admit_runs,
     compute_paces,
     follow_figures,
     take_weights,
@@ -334,12 +335,42 @@
     for wanted in runs.wanted:
         if wanted not in running and wanted not in ended:
             _add_start(runs, wanted, calls, now_s)
-    for paced, percent in compute_paces(
-        runs.pace, look.running, runs.details
-    ).items():
-        if paced in runs.wanted:
-            runs.pace.sent[paced] = percent
-            calls.append(PaceRun(paced, percent, runs.term))
+    _admit_starts(runs, look, calls)
+    calls.extend(_list_paces(runs, running, ended))
+    return calls
+
+
+def _admit_starts(
+    runs: WorkerRuns,
+    look: Look,
+    calls: list[WorkerCall],
+) -> None:
+    fresh = [
+        call.details
+        for call in calls
+        if isinstance(call, StartRun) and call.details.is_filling
+    ]
+    if fresh:
+        admit_runs(runs.pace, look.running, runs.details, fresh)
+
+
+def _list_paces(
+    runs: WorkerRuns,
+    running: set[RunKey],
+    ended: set[RunKey],
+) -> list[WorkerCall]:
+    started = {
+        key
+        for key, progress in runs.progress.items()
+        if progress.started_at_s is not None and not progress.refusal
+    }
+    present = (running | started) - ended
+    paces = compute_paces(runs.pace, present, runs.details)
+    calls: list[WorkerCall] = []
+    for key, percent in paces.items():
+        if key in runs.wanted:
+            runs.pace.sent[key] = percent
+            calls.append(PaceRun(key, percent, runs.term))
     return calls
 
 
--- a/cumintack/coordination/runs/worker_runs_test.py
+++ b/cumintack/coordination/runs/worker_runs_test.py
@@ -1,8 +1,11 @@
 """A guard makes its worker run what is wanted, and never claims too much."""
 
+import msgspec
+
 from cumintack.coordination.runs.worker_runs import (
     CallAnswer,
     Look,
+    PaceRun,
     StartRun,
     StopRun,
     WorkerRuns,
@@ -231,3 +234,31 @@
     take_look(runs, _create_look(LEASE_S + 1.3))
     runs.grant_until_s = LEASE_S * 3
     assert [call.key for call in list_calls(runs, LEASE_S + 1.4)] == [later]
+
+
+def test_pace_follows_the_start_without_another_look() -> None:
+    """A filling run is slowed as soon as its start is confirmed."""
+    serving = RunKey('0123456789abcdef.0.0.0', 1)
+    runs = WorkerRuns(0)
+    take_facts(runs, _create_facts(), 0)
+    details = {
+        serving: RunDetails('text', target_ms=100, image='desk'),
+        KEY: RunDetails(
+            'text',
+            is_filling=True,
+            image='batch',
+            need_milli=8000,
+        ),
+    }
+    orders = _create_orders(1)
+    wanted = tuple(RunOrder(key, known) for key, known in details.items())
+    take_orders(runs, msgspec.structs.replace(orders, wanted=wanted), 0)
+    row = RunningRun(serving, '', 100, 30, is_known=True)
+    take_look(runs, Look(0, 0, OLD_LIFE, (row,), ()))
+    start = list_calls(runs, 0)[0]
+    assert isinstance(start, StartRun)
+    take_answer(runs, start, CallAnswer(True, True, '', 0, 0))
+    pace = list_calls(runs, 0)[0]
+    assert isinstance(pace, PaceRun)
+    assert pace.key == KEY
+    assert pace.percent < 100
--- a/cumintack/daemon/workflow_guard_part.py
+++ b/cumintack/daemon/workflow_guard_part.py
@@ -14,6 +14,7 @@
 from cumintack.coordination.runs.worker_runs import (
     CallAnswer,
     Look,
+    StartRun,
     WorkerCall,
     WorkerRuns,
     create_report,
@@ -225,6 +226,9 @@
         take_answer(self._runs, call, answer)
         if answer.reason:
             self._report(self._node.clock.now_s())
+        if isinstance(call, StartRun):
+            # A pace that is due for the run must not wait for the next look.
+            self._make_calls(self._node.clock.now_s())
 
     def _look_always(self) -> None:
         while not self._is_closing:
