A follower tells where the leader is

A process that starts knows its seeds only; followers told it the name of the leader, but no address. Ruled out: an election that fails (the leader stood 0.5 s after the restart) and a lost quorum.

Change: the answer of a follower names the leader with its address; only a leader's answer replaces what is known of the membership.

--- a/cumintack/coordination/calls.py
+++ b/cumintack/coordination/calls.py
@@ -51,6 +51,32 @@
     last_call_id: int = 0
 
 
+def learn_replicas(
+    table: CallTable,
+    names: list[str],
+    *,
+    is_whole: bool,
+) -> list[str]:
+    """Learn of control replicas.
+
+    Args:
+        table: The calls.
+        names: Replicas that another process knows.
+        is_whole: Whether there are no others.
+
+    Returns:
+        Replicas that are none any more, whose address others may get.
+    """
+    for name in names:
+        if name not in table.replicas:
+            table.replicas.append(name)
+    if not is_whole or not names:
+        return []
+    former = [known for known in table.replicas if known not in names]
+    table.replicas = [known for known in table.replicas if known in names]
+    return former
+
+
 def get_next_id(table: CallTable) -> int:
     """Get the number of the next call.
 
--- a/cumintack/coordination/replication/__init__.py
+++ b/cumintack/coordination/replication/__init__.py
@@ -4,6 +4,7 @@
 """
 
 from cumintack.coordination.replication._changes import (
+    get_announced_members,
     propose_add,
     propose_remove,
 )
@@ -12,9 +13,6 @@
     is_removed,
     remove_silent,
 )
-from cumintack.coordination.replication._leading import (
-    get_membership_index,
-)
 from cumintack.coordination.replication._replica import (
     create_first_members,
     create_replica,
@@ -55,7 +53,7 @@
     'compact',
     'create_first_members',
     'create_replica',
-    'get_membership_index',
+    'get_announced_members',
     'hand_over',
     'handle_join',
     'handle_message',
--- a/cumintack/coordination/replication/_changes.py
+++ b/cumintack/coordination/replication/_changes.py
@@ -104,3 +104,26 @@
             'the last voter can not be removed',
         )
     return _leading.append_entry(replica, b'', others, now_s)
+
+
+def get_announced_members(replica: Replica) -> tuple[Member, ...]:
+    """Get the members that other processes should hear of.
+
+    A leader tells the whole membership once it is committed. A follower
+    tells where the leader is: a process that knows only the replicas of its
+    settings could not find a leader that joined the group later.
+
+    Args:
+        replica: The replica that is asked.
+
+    Returns:
+        All members from a leader, at most the leader from a follower.
+    """
+    if replica.role is not Role.leader:
+        leader = replica.leader_id
+        return tuple(
+            member for member in replica.members if member.member_id == leader
+        )
+    if _leading.get_membership_index(replica) > replica.delivered_index:
+        return ()
+    return replica.members
--- a/cumintack/daemon/control_part.py
+++ b/cumintack/daemon/control_part.py
@@ -57,7 +57,6 @@
     Handover,
     Invitation,
     LogEntry,
-    Member,
     ReplicationMessage,
     Snapshot,
     SnapshotChunk,
@@ -275,7 +274,7 @@
             self._get_leader_name(),
             self._is_confirmed(now_s),
             self._replica.hard.term,
-            self._get_committed_members(),
+            replication.get_announced_members(self._replica),
         )
 
     def _announce_lead(self, now_s: float) -> None:
@@ -284,14 +283,6 @@
         for name in self._nodes:
             self._node.send(name, reply)
 
-    def _get_committed_members(self) -> tuple[Member, ...]:
-        replica = self._replica
-        is_leader = replica.role is Role.leader
-        settled = replication.get_membership_index(replica)
-        if not is_leader or settled > replica.delivered_index:
-            return ()
-        return replica.members
-
     def _handle_report(
         self,
         sender: str,
--- a/cumintack/daemon/node.py
+++ b/cumintack/daemon/node.py
@@ -19,6 +19,7 @@
     CallTable,
     close_call,
     get_next_id,
+    learn_replicas,
     open_call,
     redirect_call,
     tick_calls,
@@ -393,25 +394,28 @@
             self.is_current = message.revision <= self.configuration.revision
 
     def _learn_replicas(self, message: NodeStatusReply) -> None:
+        names = [member.name for member in message.members]
+        former = learn_replicas(
+            self.calls,
+            names,
+            is_whole=message.is_leader,
+        )
+        for name in former:
+            if name in self.links.get_peers():
+                self.links.hang_up(name)
         for member in message.members:
-            if member.name not in self.calls.replicas:
-                self.calls.replicas.append(member.name)
             if member.name != self.settings.name:
                 self.links.dial(member.name, member.address)
-        if message.members:
-            kept = {listed.name for listed in message.members}
-            self._forget_replicas(kept)
 
     def learn_peers(self, peers: tuple[PeerSettings, ...]) -> list[str]:
         """Dial control replicas that the settings name now."""
-        added = []
+        known = set(self.calls.replicas)
+        names = [peer.name for peer in peers]
+        learn_replicas(self.calls, names, is_whole=False)
         for peer in peers:
-            if peer.name not in self.calls.replicas:
-                self.calls.replicas.append(peer.name)
-                added.append(peer.name)
             if peer.name != self.settings.name:
                 self.links.dial(peer.name, peer.address)
-        return added
+        return [name for name in names if name not in known]
 
     def _judge_lost(self, now_s: float) -> None:
         if self.calls.leader:
@@ -422,15 +426,6 @@
             if self.on_lost_leader is not None:
                 self.on_lost_leader()
 
-    def _forget_replicas(self, kept: set[str]) -> None:
-        """Hang up on former replicas, whose address others may get."""
-        for name in list(self.calls.replicas):
-            if name in kept:
-                continue
-            self.calls.replicas.remove(name)
-            if name in self.links.get_peers():
-                self.links.hang_up(name)
-
     def compare_revision(self, peer: str, revision: int) -> None:
         """Pull the configuration if a peer has a later one."""
         self.known_revision = max(self.known_revision, revision)
--- a/cumintack/protocol/messages.py
+++ b/cumintack/protocol/messages.py
@@ -165,7 +165,8 @@
         leader: Name of the leader, empty if unknown.
         is_leader: Whether a confirmed leader answers.
         term: Latest term known there.
-        members: The committed membership, from a confirmed leader only.
+        members: The committed membership from a leader; from a follower at
+            most the leader.
     """
 
     revision: int
