--- a/cumintack/platform/__main__.py
+++ b/cumintack/platform/__main__.py
@@ -4,6 +4,7 @@
 role a process has but by its settings.
 """
 
+import faulthandler
 import os
 import pathlib
 import sys
@@ -18,6 +19,8 @@
 
 def main() -> None:
     """Run until the platform stops the process."""
+    # An end by a fatal signal leaves the stacks of all threads in the log.
+    faulthandler.enable()
     path = os.environ.get(SETTINGS_VARIABLE, '')
     if not path:
         sys.stderr.write(f'{SETTINGS_VARIABLE} is not set\n')
