Queues with an outside adviser are served

Change: pure decisions in coordination/runs/advising.py, asked by the leader from a thread (daemon/advice_desk.py), spoken by platform/advice_calls.py. Placement needs a ticket that holds; the order carries it; a refused start drops it.

--- /dev/null
+++ b/cumintack/coordination/runs/advising.py
@@ -0,0 +1,225 @@
+"""Which workers an outside adviser allows for which steps.
+
+A queue may be under a policy that only the adviser knows. It is asked about a
+few workers at a time, since an answer takes longer with each worker named;
+one question is open at a time, since it serves each of us in turn. What it
+allows does not change for a step, but its tickets expire.
+"""
+
+import msgspec
+
+from cumintack.coordination.runs.ordering import rank_step
+from cumintack.coordination.runs.views import WorkerView, is_open
+from cumintack.state.workflows import StepKey, WorkflowTables
+
+# Workers named in one question; half of what the objective of a step allows
+# for.
+MOST_ASKED = 15
+# Seconds before a ticket expires from which it is not relied on: a start is
+# recorded and sent well within it.
+TICKET_MARGIN_S = 0.4
+# Seconds until the adviser is asked again after it gave no answer.
+RETRY_S = 0.3
+
+
+class Ticket(msgspec.Struct, frozen=True):
+    """Leave to run tasks of a step on one life of a worker."""
+
+    text: str
+    valid_until_s: float
+
+
+class Question(msgspec.Struct, frozen=True):
+    """A question to the adviser.
+
+    Attributes:
+        step: The step.
+        lifetimes: Lives of the workers, by identifier of the worker.
+    """
+
+    step: StepKey
+    lifetimes: dict[str, str]
+
+
+class Advice(msgspec.Struct, frozen=True):
+    """An answer of the adviser.
+
+    Attributes:
+        tickets: Texts of tickets by identifier of an allowed worker.
+        valid_s: How long they are valid.
+    """
+
+    tickets: dict[str, str]
+    valid_s: float
+
+
+class StepAdvice(msgspec.Struct):
+    """What is known for one step.
+
+    Attributes:
+        tickets: The latest ticket by life of an allowed worker.
+        barred: Lives of workers that are not allowed.
+    """
+
+    tickets: dict[str, Ticket] = {}
+    barred: set[str] = set()
+
+
+class AdviceState(msgspec.Struct):
+    """What the adviser said.
+
+    Attributes:
+        steps: What is known by step.
+        is_asking: Whether a question is open.
+        retry_at_s: When the next question may be asked.
+    """
+
+    steps: dict[StepKey, StepAdvice] = {}
+    is_asking: bool = False
+    retry_at_s: float = 0
+
+
+def find_ticket(
+    state: AdviceState,
+    step: StepKey,
+    lifetime: str,
+    now_s: float,
+) -> str | None:
+    """Find a ticket that holds for a while yet.
+
+    Args:
+        state: What the adviser said.
+        step: The step.
+        lifetime: The life of a worker.
+        now_s: The time.
+
+    Returns:
+        The text of the ticket, or None.
+    """
+    known = state.steps.get(step)
+    ticket = known.tickets.get(lifetime) if known else None
+    if ticket is None or ticket.valid_until_s - now_s < TICKET_MARGIN_S:
+        return None
+    return ticket.text
+
+
+def choose_question(
+    state: AdviceState,
+    tables: WorkflowTables,
+    views: dict[str, WorkerView],
+    now_s: float,
+    now_ms: float,
+) -> Question | None:
+    """Choose what to ask, for the first waiting step that lacks tickets.
+
+    Args:
+        state: What the adviser said, changed in place.
+        tables: The workflows.
+        views: The workers by guard.
+        now_s: The time.
+        now_ms: Wall time.
+
+    Returns:
+        The question, or None.
+    """
+    if state.is_asking or now_s < state.retry_at_s:
+        return None
+    ranks = sorted(
+        rank_step(tables, key, now_ms)
+        for key in tables.index.waiting
+        if is_advised(tables, key)
+    )
+    for rank in ranks:
+        lifetimes = _choose_workers(state, tables, rank.key, views, now_s)
+        if lifetimes:
+            state.is_asking = True
+            return Question(rank.key, lifetimes)
+    return None
+
+
+def is_advised(tables: WorkflowTables, step: StepKey) -> bool:
+    """Tell whether a step needs tickets.
+
+    Args:
+        tables: The workflows.
+        step: The step.
+
+    Returns:
+        Whether its queue has an adviser.
+    """
+    return tables.workflows[step.workflow_id].queue.advice is not None
+
+
+def _choose_workers(
+    state: AdviceState,
+    tables: WorkflowTables,
+    step: StepKey,
+    views: dict[str, WorkerView],
+    now_s: float,
+) -> dict[str, str]:
+    known = state.steps.setdefault(step, StepAdvice())
+    pool = tables.workflows[step.workflow_id].queue.pool
+    asked = [
+        view.facts
+        for view in views.values()
+        if view.facts.pool == pool
+        and is_open(view, now_s)
+        and view.facts.lifetime not in known.barred
+        and find_ticket(state, step, view.facts.lifetime, now_s) is None
+    ]
+    # Workers that were allowed before are allowed again.
+    asked.sort(key=lambda facts: facts.lifetime not in known.tickets)
+    return {facts.worker_id: facts.lifetime for facts in asked[:MOST_ASKED]}
+
+
+def take_advice(
+    state: AdviceState,
+    question: Question,
+    advice: Advice | None,
+    now_s: float,
+) -> None:
+    """Take the answer to the open question.
+
+    Args:
+        state: What the adviser said, changed in place.
+        question: The question.
+        advice: The answer, None if there was none.
+        now_s: When it came.
+    """
+    state.is_asking = False
+    if advice is None:
+        state.retry_at_s = now_s + RETRY_S
+        return
+    known = state.steps.setdefault(question.step, StepAdvice())
+    until_s = now_s + advice.valid_s
+    for worker, lifetime in question.lifetimes.items():
+        text = advice.tickets.get(worker)
+        if text is None:
+            known.barred.add(lifetime)
+        else:
+            known.tickets[lifetime] = Ticket(text, until_s)
+
+
+def drop_ticket(state: AdviceState, step: StepKey, lifetime: str) -> None:
+    """Drop a ticket that may have been refused.
+
+    Args:
+        state: What the adviser said, changed in place.
+        step: The step.
+        lifetime: The life of the worker.
+    """
+    known = state.steps.get(step)
+    if known is not None:
+        known.tickets.pop(lifetime, None)
+
+
+def forget_closed(state: AdviceState, tables: WorkflowTables) -> None:
+    """Forget steps of workflows that have ended.
+
+    Args:
+        state: What the adviser said, changed in place.
+        tables: The workflows.
+    """
+    for step in list(state.steps):
+        if step.workflow_id not in tables.index.active:
+            state.steps.pop(step)
--- a/cumintack/coordination/runs/leading.py
+++ b/cumintack/coordination/runs/leading.py
@@ -8,6 +8,11 @@
 import msgspec
 
 from cumintack.coordination.effects import ProposeOwn, Send
+from cumintack.coordination.runs.advising import (
+    AdviceState,
+    drop_ticket,
+    forget_closed,
+)
 from cumintack.coordination.runs.ends import EndFinder, split_run
 from cumintack.coordination.runs.evacuation import list_evacuated
 from cumintack.coordination.runs.neighbours import (
@@ -99,6 +104,7 @@
         informed: Guards that need new orders.
         pressure: What was learned of pairs of images.
         starved: Since when filling runs are starved.
+        advice: What the outside adviser allows.
     """
 
     settings: RunSettings
@@ -115,6 +121,7 @@
     informed: dict[str, None] = {}
     pressure: PressureModel = msgspec.field(default_factory=PressureModel)
     starved: dict[RunKey, float] = {}
+    advice: AdviceState = msgspec.field(default_factory=AdviceState)
 
 
 RunEffect = Send | ProposeOwn
@@ -240,6 +247,8 @@
         take_success(view)
     elif end.kind is RunEndKind.refused:
         view.shunned_until_s = max(view.shunned_until_s, now_s + REFUSED_S)
+        if key is not None:
+            drop_ticket(lead.advice, key.step_key, view.facts.lifetime)
 
 
 def follow_applied(
@@ -321,6 +330,7 @@
         _evacuate(lead, tables, now_s)
         fit(lead.pressure)
         forget_unseen(lead.pressure, now_s)
+        forget_closed(lead.advice, tables)
         _move_starved(lead, tables, now_s)
         lead.is_dirty = lead.is_dirty or bool(tables.index.waiting)
     if lead.is_dirty and now_s >= lead.pass_at_s:
@@ -328,7 +338,7 @@
         lead.is_dirty = False
         effects.extend(_run_pass(lead, tables, now_s, now_ms))
     effects.extend(
-        _send_orders(lead, tables, lead.views[guard])
+        _send_orders(lead, tables, lead.views[guard], now_s)
         for guard in lead.informed
         if guard in lead.views
     )
@@ -425,7 +435,7 @@
         lead.views,
         rooms,
         set(lead.proposed_starts),
-        lead.pressure,
+        (lead.pressure, lead.advice),
         now_s,
     )
 
@@ -451,6 +461,7 @@
     lead: RunLeadership,
     tables: WorkflowTables,
     view: WorkerView,
+    now_s: float,
 ) -> Send:
     lead.number += 1
     view.granted_until_s = max(
@@ -463,5 +474,7 @@
         lead.settings.lease_s,
         lead.stopping,
         lead.pressure,
+        lead.advice,
+        now_s,
     )
     return Send(view.guard, create_orders(source, tables, view))
--- a/cumintack/coordination/runs/orders.py
+++ b/cumintack/coordination/runs/orders.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from cumintack.coordination.runs.advising import AdviceState, find_ticket
 from cumintack.coordination.runs.neighbours import list_weights
 from cumintack.coordination.runs.pressure import PressureModel
 from cumintack.coordination.runs.views import WorkerView, list_placed
@@ -31,6 +32,8 @@
         lease_s: Length of the lease that they give.
         stopping: Runs that are stopped so that they go on elsewhere.
         pressure: What was learned of pairs of images.
+        advice: What the outside adviser allows.
+        now_s: The time.
     """
 
     term: int
@@ -38,6 +41,8 @@
     lease_s: float
     stopping: dict[RunKey, str]
     pressure: PressureModel
+    advice: AdviceState
+    now_s: float
 
 
 def create_orders(
@@ -67,7 +72,7 @@
         elif key in view.known:
             wanted.append(RunOrder(key))
         else:
-            details = _create_details(tables, task, record)
+            details = _create_details(source, tables, task, record)
             wanted.append(RunOrder(key, details))
     return RunOrders(
         source.term,
@@ -83,16 +88,23 @@
 
 
 def _create_details(
+    source: OrderSource,
     tables: WorkflowTables,
     task: TaskKey,
     record: TaskRecord,
 ) -> RunDetails:
     workflow = tables.workflows[task.step_key.workflow_id]
     step = workflow.spec.steps[task.step_key.step]
+    ticket = find_ticket(
+        source.advice,
+        task.step_key,
+        record.lifetime,
+        source.now_s,
+    )
     return RunDetails(
         workflow.spec.program,
         record.checkpoint if step.is_checkpointed else '',
-        '',
+        ticket or '',
         step.is_filling,
         step.target_ms,
         step.image,
--- a/cumintack/coordination/runs/placing.py
+++ b/cumintack/coordination/runs/placing.py
@@ -8,6 +8,11 @@
 
 import msgspec
 
+from cumintack.coordination.runs.advising import (
+    AdviceState,
+    find_ticket,
+    is_advised,
+)
 from cumintack.coordination.runs.ordering import rank_step
 from cumintack.coordination.runs.pacing import AIM_MARGIN, LEAST_PRESSURE
 from cumintack.coordination.runs.pressure import (
@@ -61,6 +66,7 @@
         sites: Workers that take tasks, by guard.
         taken: Tasks whose start is proposed already.
         pressure: What was learned of pairs of images.
+        advice: What the outside adviser allows.
         now_s: The time.
         starts: What was decided.
     """
@@ -69,6 +75,7 @@
     sites: dict[str, Site]
     taken: set[str]
     pressure: PressureModel
+    advice: AdviceState
     now_s: float
     starts: list[RunStart] = []
 
@@ -81,12 +88,14 @@
         step: What was asked for.
         record: Its state.
         pool: The pool whose workers may run it.
+        needs_ticket: Whether the outside adviser must allow the worker.
     """
 
     key: TaskKey
     step: StepSpec
     record: TaskRecord
     pool: str
+    needs_ticket: bool
 
 
 def create_pass(
@@ -94,7 +103,7 @@
     views: dict[str, WorkerView],
     rooms: dict[str, Room],
     taken: set[str],
-    pressure: PressureModel,
+    learned: tuple[PressureModel, AdviceState],
     now_s: float,
 ) -> Pass:
     """Create a pass.
@@ -104,7 +113,8 @@
         views: The workers by guard.
         rooms: What is taken on each of them, changed by the pass.
         taken: Tasks whose start is proposed already.
-        pressure: What was learned of pairs of images.
+        learned: What was learned of pairs of images, and what the outside
+            adviser allows.
         now_s: The time.
 
     Returns:
@@ -115,7 +125,7 @@
         for guard, view in views.items()
         if is_open(view, now_s)
     }
-    return Pass(tables, sites, taken, pressure, now_s)
+    return Pass(tables, sites, taken, *learned, now_s)
 
 
 def place_waiting(current: Pass, now_ms: float) -> list[RunStart]:
@@ -160,13 +170,14 @@
 ) -> Iterator[Wish]:
     workflow = current.tables.workflows[key.workflow_id]
     pool = workflow.queue.pool
+    needs_ticket = is_advised(current.tables, key)
     waiting = current.tables.index.waiting[key]
     for index in list(waiting.indexes):
         task_key = TaskKey(key, index)
         record = get_task(current.tables, task_key)
         is_taken = create_task_id(task_key) in current.taken
         if record is not None and not is_taken:
-            yield Wish(task_key, step, record, pool)
+            yield Wish(task_key, step, record, pool, needs_ticket)
 
 
 def _place_gang(current: Pass, key: StepKey, step: StepSpec) -> None:
@@ -233,11 +244,20 @@
     count = site.room.by_step.get(wish.key.step_key, 0)
     if step.max_per_worker and count >= step.max_per_worker:
         return False
+    if wish.needs_ticket and not _has_ticket(current, site, wish):
+        return False
     if step.is_filling and get_speed(current, site, step) < LEAST_SPEED:
         return False
     return _is_trusted(current, site, wish)
 
 
+def _has_ticket(current: Pass, site: Site, wish: Wish) -> bool:
+    lifetime = site.view.facts.lifetime
+    step = wish.key.step_key
+    ticket = find_ticket(current.advice, step, lifetime, current.now_s)
+    return ticket is not None
+
+
 def get_speed(current: Pass, site: Site, step: StepSpec) -> float:
     """Estimate at what share of its speed a filling task would work.
 
--- /dev/null
+++ b/cumintack/daemon/advice_desk.py
@@ -0,0 +1,89 @@
+"""Questions of the leader to the outside adviser, each in its own thread."""
+
+import threading
+from typing import Protocol
+
+import structlog
+from result import Err, Ok, Result
+
+from cumintack.coordination.runs.advising import (
+    Advice,
+    Question,
+    choose_question,
+    take_advice,
+)
+from cumintack.coordination.runs.leading import RunLeadership
+from cumintack.daemon.node import Node
+from cumintack.state.errors import StepError, render_error
+from cumintack.state.workflows import WorkflowTables
+
+logger = structlog.get_logger()
+
+
+class Adviser(Protocol):
+    """The outside adviser, reached by an adapter."""
+
+    def ask(self, question: Question) -> Result[Advice, StepError]:
+        """Ask, and wait for the answer."""
+
+
+class AdviceDesk:
+    """Asks while its process leads."""
+
+    __slots__ = ('_adviser', '_node')
+
+    def __init__(self, node: Node) -> None:
+        """Start without an adviser."""
+        self._node = node
+        self._adviser: Adviser | None = None
+
+    def use(self, adviser: Adviser) -> None:
+        """Ask an adviser from now on."""
+        self._adviser = adviser
+
+    def tick(
+        self,
+        lead: RunLeadership,
+        tables: WorkflowTables,
+        now_s: float,
+        now_ms: float,
+    ) -> None:
+        """Ask the next question, if one is due."""
+        adviser = self._adviser
+        if adviser is None:
+            return
+        question = choose_question(
+            lead.advice,
+            tables,
+            lead.views,
+            now_s,
+            now_ms,
+        )
+        if question is None:
+            return
+
+        def ask() -> None:
+            answer = adviser.ask(question)
+            self._node.post(lambda: self._take(lead, question, answer))
+
+        threading.Thread(target=ask, daemon=True).start()
+
+    def _take(
+        self,
+        lead: RunLeadership,
+        question: Question,
+        answer: Result[Advice, StepError],
+    ) -> None:
+        advice = answer.ok_value if isinstance(answer, Ok) else None
+        error = answer.err_value if isinstance(answer, Err) else None
+        self._node.metrics.count('advice.asked')
+        logger.info(
+            'control: advice taken',
+            workflow=question.step.workflow_id,
+            step=question.step.step,
+            asked=len(question.lifetimes),
+            allowed=len(advice.tickets) if advice else 0,
+            error=render_error(error) if error else '',
+        )
+        take_advice(lead.advice, question, advice, self._node.clock.now_s())
+        lead.is_dirty = True
--- a/cumintack/daemon/control_part.py
+++ b/cumintack/daemon/control_part.py
@@ -31,6 +31,7 @@
 )
 from cumintack.coordination.runs.leading import RunEffect, RunSettings
 from cumintack.coordination.scheduling import SchedulerSettings
+from cumintack.daemon.advice_desk import Adviser
 from cumintack.daemon.control_queries import (
     QueryAnswer,
     QueryDesk,
@@ -212,6 +213,10 @@
                     int(node.incarnation, HEX_BASE),
                 )
 
+    def use_adviser(self, adviser: Adviser) -> None:
+        """Ask an adviser about queues that need it."""
+        self._workflows.advice.use(adviser)
+
     def handle(self, sender: str, message: Message) -> bool:
         """Handle a message; false if it is not for this part."""
         now_s = self._node.clock.now_s()
--- a/cumintack/daemon/metric_names.py
+++ b/cumintack/daemon/metric_names.py
@@ -28,6 +28,7 @@
 
 
 METRIC_NAMES = (
+    _count('advice.asked', 'Questions to the outside adviser of queues.'),
     _count('gate.unknown', 'Workflow calls whose outcome is not known.'),
     _count('guard.call-done', 'Calls to the worker that did what was asked.'),
     _count('guard.call-refused', 'Calls to the worker that it refused.'),
--- a/cumintack/daemon/settings.py
+++ b/cumintack/daemon/settings.py
@@ -55,6 +55,8 @@
         pass_interval_ms: Shortest time between two scheduler passes.
         operator_address: Where operators change and read the configuration
             of queues, as ``host:port``; empty for nowhere.
+        adviser_address: Where the outside adviser of queues answers, as
+            ``host:port``; empty if there is none.
         is_first_start: Whether the deployment starts for the first time, so
             that the seeds among the replicas found the control group.
         tolerated_losses: Replicas that may be lost at once; a silent member
@@ -71,6 +73,7 @@
     lease_ms: int = 10000
     pass_interval_ms: int = 20
     operator_address: str = ''
+    adviser_address: str = ''
     is_first_start: bool = False
     tolerated_losses: int = 1
     is_sync_trusted: bool = False
--- a/cumintack/daemon/workflow_desk.py
+++ b/cumintack/daemon/workflow_desk.py
@@ -14,6 +14,7 @@
     handle_run_tick,
     handle_unproposed_runs,
 )
+from cumintack.daemon.advice_desk import AdviceDesk
 from cumintack.daemon.node import Node
 from cumintack.daemon.workflow_log import (
     count_operation,
@@ -56,7 +57,14 @@
 class WorkflowDesk:
     """Workflows within a control part."""
 
-    __slots__ = ('_lead', '_node', '_read_id', '_settings', '_waiting')
+    __slots__ = (
+        '_lead',
+        '_node',
+        '_read_id',
+        '_settings',
+        '_waiting',
+        'advice',
+    )
 
     def __init__(self, node: Node, settings: RunSettings) -> None:
         """Start without leading."""
@@ -65,6 +73,7 @@
         self._lead: RunLeadership | None = None
         self._read_id = FIRST_READ_ID
         self._waiting: dict[int, WaitingQuestion] = {}
+        self.advice = AdviceDesk(node)
 
     def begin_leading(self, term: int, now_s: float) -> None:
         """Begin to lead."""
@@ -105,6 +114,7 @@
         now_ms = get_wall_ms(self._node.clock)
         known = set(self._lead.stopping)
         effects = handle_run_tick(self._lead, tables, now_s, now_ms)
+        self.advice.tick(self._lead, tables, now_s, now_ms)
         if len(self._lead.stopping) != len(known):
             log_stops(self._lead.stopping, known)
         return effects
--- a/cumintack/platform/_wire.py
+++ b/cumintack/platform/_wire.py
@@ -194,6 +194,22 @@
     term: int = msgspec.field(name='fencing_token')
 
 
+class WireQuestion(msgspec.Struct, frozen=True):
+    """Question to the adviser."""
+
+    # Names a step of an occurrence: three parts of a task's name.
+    step: str
+    worker_ids: tuple[str, ...] = msgspec.field(name='workers')
+
+
+class WireAllowed(msgspec.Struct, frozen=True):
+    """Answer of the adviser."""
+
+    # Rows of worker and ticket; workers that are not named are not allowed.
+    rows: tuple[tuple[str, str], ...] = msgspec.field(name='good')
+    valid_ms: int
+
+
 class WireAnswer(msgspec.Struct, frozen=True):
     """Answer of a worker to a call."""
 
--- /dev/null
+++ b/cumintack/platform/advice_calls.py
@@ -0,0 +1,55 @@
+"""Calls to the platform's adviser, which knows the policy of some queues."""
+
+from http import HTTPStatus
+
+import msgspec
+from result import Err, Ok, Result
+
+from cumintack.coordination.runs.advising import Advice, Question
+from cumintack.platform._wire import WireAllowed, WireQuestion
+from cumintack.state.errors import ErrorCode, StepError
+from cumintack.transport.http_client import HttpClient
+
+STEP = 'platform.advise'
+PATH = '/v1/advise'
+# Seconds; the adviser takes longer with each worker named, and serves up to
+# 32 calls of ours in turn.
+TIMEOUT_S = 5.0
+MAX_ANSWER_BYTES = 65536
+MS_PER_S = 1000
+
+
+class PlatformAdviser:
+    """The adviser; safe to use from many threads."""
+
+    __slots__ = ('_address', '_client')
+
+    def __init__(self, address: str) -> None:
+        """Ask the adviser at ``host:port``."""
+        self._address = address
+        self._client = HttpClient(address, 1, MAX_ANSWER_BYTES)
+
+    def ask(self, question: Question) -> Result[Advice, StepError]:
+        """Ask, and wait for the answer."""
+        step = question.step
+        body = msgspec.json.encode(
+            WireQuestion(
+                f'{step.workflow_id}.{step.occurrence}.{step.step}',
+                tuple(question.lifetimes),
+            ),
+        )
+        headers = {'Content-Type': 'application/json'}
+        sent = self._client.send('POST', PATH, headers, body, TIMEOUT_S)
+        if isinstance(sent, Err):
+            return Err(sent.err_value.error)
+        answer = sent.ok_value
+        if answer.status != HTTPStatus.OK:
+            return self._fail(ErrorCode.unavailable, f'status {answer.status}')
+        try:
+            allowed = msgspec.json.decode(answer.body, type=WireAllowed)
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            return self._fail(ErrorCode.invalid, str(error))
+        return Ok(Advice(dict(allowed.rows), allowed.valid_ms / MS_PER_S))
+
+    def _fail(self, code: ErrorCode, detail: str) -> Err[StepError]:
+        return Err(StepError(code, STEP, self._address, detail))
--- a/cumintack/platform/deploy_test.py
+++ b/cumintack/platform/deploy_test.py
@@ -23,6 +23,7 @@
     'bind_addrs.control': '10.1.0.13:8166',
     'app': '10.1.0.13:8165',
     'data_dir': '/data/control',
+    'advice': '10.200.1.9:8169',
     'initial_start|json': 'true',
     'bounds.grace_s': '6',
     'fault_tolerance.machines': '0',
--- a/cumintack/platform/parts.py
+++ b/cumintack/platform/parts.py
@@ -14,6 +14,8 @@
     """
     parts: list[Part] = []
     settings = node.settings
+    if settings.control is not None and settings.control.adviser_address:
+        _use_adviser(node, settings.control.adviser_address)
     if settings.workflow_entry is not None:
         parts.append(_create_entry(node))
     if settings.workflow_guard is not None:
@@ -62,6 +64,15 @@
     return part
 
 
+def _use_adviser(node: Node, address: str) -> None:
+    from cumintack.daemon.control_part import ControlPart
+    from cumintack.platform.advice_calls import PlatformAdviser
+
+    for part in node.parts:
+        if isinstance(part, ControlPart):
+            part.use_adviser(PlatformAdviser(address))
+
+
 def _create_operator(node: Node) -> Part:
     from cumintack.daemon.operator_part import OperatorPart
     from cumintack.daemon.workflow_entry_part import LeaderGate
