--- a/cumintack/daemon/workflow_log.py
+++ b/cumintack/daemon/workflow_log.py
@@ -9,7 +9,9 @@
     CancelWorkflow,
     RecordRuns,
     ReplaceQueues,
+    RunEndKind,
     StepSpec,
+    WorkflowStatus,
     WorkflowTables,
 )
 from cumintack.transport.metrics import Metrics
@@ -110,16 +112,32 @@
             ],
             count=len(operation.ends),
         )
-    ended = {over.task_id.partition('.')[0] for over in operation.ends}
-    for workflow_id in ended:
+    _log_over(tables, operation)
+
+
+# The end of a run that ends its workflow, by the status that this has then.
+# Runs of a cancelled workflow end after it.
+_LAST_ENDS = {
+    WorkflowStatus.completed: RunEndKind.done,
+    WorkflowStatus.failed: RunEndKind.failed,
+}
+
+
+def _log_over(tables: WorkflowTables, operation: RecordRuns) -> None:
+    """Log workflows that ended with these ends, each once."""
+    kinds = {
+        (end.task_id.partition('.')[0], end.kind) for end in operation.ends
+    }
+    for workflow_id, kind in sorted(kinds, key=str):
         workflow = tables.workflows.get(workflow_id)
-        if workflow is not None and workflow.ended_at_ms:
-            logger.info(
-                'control: workflow over',
-                workflow=workflow_id,
-                status=workflow.status.value,
-                took_ms=workflow.ended_at_ms - workflow.accepted_at_ms,
-            )
+        if workflow is None or _LAST_ENDS.get(workflow.status) is not kind:
+            continue
+        logger.info(
+            'control: workflow over',
+            workflow=workflow_id,
+            status=workflow.status.value,
+            took_ms=workflow.ended_at_ms - workflow.accepted_at_ms,
+        )
 
 
 def log_stops(stopping: dict[RunKey, str], known: set[RunKey]) -> None:
--- /dev/null
+++ b/cumintack/daemon/workflow_log_test.py
@@ -0,0 +1,82 @@
+"""One line tells of the end of a workflow."""
+
+import pytest
+import structlog
+
+from cumintack.daemon.workflow_log import log_operation
+from cumintack.state._workflow_changes import apply_workflow_operation
+from cumintack.state.queues import Pool, Queue, QueueConfiguration
+from cumintack.state.resources import Resources
+from cumintack.state.workflows import (
+    AcceptWorkflow,
+    CancelWorkflow,
+    RecordRuns,
+    ReplaceQueues,
+    RunEnd,
+    RunEndKind,
+    RunStart,
+    StepSpec,
+    WorkflowOperation,
+    WorkflowSpec,
+    WorkflowTables,
+)
+
+WORKFLOW_ID = '0123456789abcdef'
+PATH = f'/queue/{WORKFLOW_ID}'
+TASKS = tuple(f'{WORKFLOW_ID}.0.0.{index}' for index in range(3))
+
+
+def _end(index: int, kind: RunEndKind) -> RecordRuns:
+    return RecordRuns(ends=(RunEnd(TASKS[index], 1, kind),))
+
+
+def _list_overs(*operations: WorkflowOperation) -> list[str]:
+    queue = Queue('queue', 'host', '/queue/', 'pool', attempts=1)
+    configuration = QueueConfiguration(1, (queue,), (Pool('pool'),))
+    spec = WorkflowSpec('text', (StepSpec(3, Resources(1000, 100)),))
+    starts = tuple(RunStart(task_id, 1, 'guard', 'life') for task_id in TASKS)
+    tables = WorkflowTables()
+    first = (
+        ReplaceQueues(configuration),
+        AcceptWorkflow(WORKFLOW_ID, 'host', PATH, spec),
+        RecordRuns(starts=starts),
+    )
+    with structlog.testing.capture_logs() as lines:
+        for operation in (*first, *operations):
+            apply_workflow_operation(tables, operation, 1)
+            log_operation(tables, operation)
+    return [
+        line['status']
+        for line in lines
+        if line['event'] == 'control: workflow over'
+    ]
+
+
+@pytest.mark.parametrize(
+    ('operations', 'statuses'),
+    [
+        ([_end(index, RunEndKind.done) for index in range(3)], ['completed']),
+        (
+            [
+                _end(0, RunEndKind.failed),
+                _end(1, RunEndKind.stopped),
+                _end(2, RunEndKind.stopped),
+            ],
+            ['failed'],
+        ),
+        (
+            [
+                CancelWorkflow(WORKFLOW_ID, 'host', PATH),
+                _end(0, RunEndKind.stopped),
+                _end(1, RunEndKind.stopped),
+            ],
+            [],
+        ),
+    ],
+)
+def test_end_is_logged_once(
+    operations: list[WorkflowOperation],
+    statuses: list[str],
+) -> None:
+    """Ends of runs after that of the workflow add no line."""
+    assert _list_overs(*operations) == statuses
