--- a/cumintack/daemon/workflow_log_test.py
+++ b/cumintack/daemon/workflow_log_test.py
@@ -22,6 +22,7 @@
 )
 
 WORKFLOW_ID = '0123456789abcdef'
+OVER = 'control: workflow over'
 PATH = f'/queue/{WORKFLOW_ID}'
 TASKS = tuple(f'{WORKFLOW_ID}.0.0.{index}' for index in range(3))
 
@@ -45,11 +46,8 @@
         for operation in (*first, *operations):
             apply_workflow_operation(tables, operation, 1)
             log_operation(tables, operation)
-    return [
-        line['status']
-        for line in lines
-        if line['event'] == 'control: workflow over'
-    ]
+        overs = [line for line in lines if line['event'] == OVER]
+    return [over['status'] for over in overs]
 
 
 @pytest.mark.parametrize(
