Records and due calls of a guard stand in modules of their own

Cause: worker_runs.py had 600 lines with three jobs: records, choice of calls, and what answers and looks change. Nothing else; the tests are the same but for their imports.

--- /dev/null
+++ b/cumintack/coordination/runs/run_records.py
@@ -0,0 +1,177 @@
+"""What a guard knows of the runs of its worker, and the calls it can make."""
+
+import msgspec
+
+from cumintack.coordination.runs.pacing import PaceState
+from cumintack.protocol.run_messages import (
+    EndedRun,
+    RunDetails,
+    RunKey,
+    RunningRun,
+    WorkerFacts,
+)
+
+
+class Look(msgspec.Struct, frozen=True):
+    """What a worker showed of its runs.
+
+    Attributes:
+        sent_at_s: When the look was sent.
+        answered_at_s: When its answer arrived.
+        lifetime: The life of the worker that answered.
+        running: What it holds.
+        ended: Ends not forgotten yet.
+    """
+
+    sent_at_s: float
+    answered_at_s: float
+    lifetime: str
+    running: tuple[RunningRun, ...]
+    ended: tuple[EndedRun, ...]
+
+
+class StartRun(msgspec.Struct, frozen=True):
+    """Start a run under a lease that ends at a time of the guard's clock."""
+
+    key: RunKey
+    details: RunDetails
+    term: int
+    lease_until_s: float
+
+
+class StopRun(msgspec.Struct, frozen=True):
+    """Stop a run, and have it refused if it arrives later."""
+
+    key: RunKey
+    term: int
+
+
+class PaceRun(msgspec.Struct, frozen=True):
+    """Let a run work at a share of its speed."""
+
+    key: RunKey
+    percent: int
+    term: int
+
+
+WorkerCall = StartRun | StopRun | PaceRun
+
+
+class CallAnswer(msgspec.Struct, frozen=True):
+    """How a call ended.
+
+    Attributes:
+        is_answered: Whether the worker answered; if not, the call may still
+            take effect.
+        is_done: Whether the worker did what was asked.
+        reason: Why it did not; empty if it may be asked again as it is.
+        sent_at_s: When it was sent.
+        answered_at_s: When the answer arrived, or the wait was given up.
+    """
+
+    is_answered: bool
+    is_done: bool
+    reason: str
+    sent_at_s: float
+    answered_at_s: float
+
+
+class RunProgress(msgspec.Struct):
+    """How far the calls for one run are.
+
+    Attributes:
+        is_in_flight: Whether a call for it is on its way.
+        unsure_until_s: Until when a start without an answer may take effect.
+        started_at_s: When a start was confirmed.
+        stopped_at_s: When a stop was confirmed.
+        retry_at_s: When the next call may be made.
+        refusal: Why the worker refused it, empty if it did not.
+        closed: Why it is surely absent, empty if it is not.
+    """
+
+    is_in_flight: bool = False
+    unsure_until_s: float = float('-inf')
+    started_at_s: float | None = None
+    stopped_at_s: float | None = None
+    retry_at_s: float = 0
+    refusal: str = ''
+    closed: str = ''
+
+
+class WorkerRuns(msgspec.Struct):
+    """Runs of one worker as its guard knows them.
+
+    Attributes:
+        bound_s: Until when leases given to the worker may run.
+        term: Term of the orders.
+        number: Number of the latest orders of the term.
+        facts: The worker, None until it announced itself.
+        is_gone: Whether this life of the worker is over.
+        heard_at_s: When it last answered.
+        grant_until_s: End of the lease that the leader gave.
+        settled_number: Ends up to it are recorded.
+        wanted: Runs that should be there.
+        stops: Runs that must be made absent.
+        details: What is known of runs.
+        progress: Calls for runs.
+        look: The latest look in this life.
+        unsure_until_s: Until when a lease without an answer may take effect.
+        former_calls: Calls to a former life that are still on their way and
+            may reach this one.
+        pace: The pace of filling tasks.
+    """
+
+    bound_s: float
+    term: int = 0
+    number: int = 0
+    facts: WorkerFacts | None = None
+    is_gone: bool = False
+    heard_at_s: float = float('-inf')
+    grant_until_s: float = float('-inf')
+    settled_number: int = 0
+    wanted: dict[RunKey, None] = {}
+    stops: dict[RunKey, None] = {}
+    details: dict[RunKey, RunDetails] = {}
+    progress: dict[RunKey, RunProgress] = {}
+    look: Look | None = None
+    unsure_until_s: float = float('-inf')
+    former_calls: int = 0
+    pace: PaceState = msgspec.field(default_factory=PaceState)
+
+
+def get_running(runs: WorkerRuns) -> set[RunKey]:
+    """Get the runs that the latest look shows at work.
+
+    Args:
+        runs: The runs of the worker.
+
+    Returns:
+        Their keys.
+    """
+    look = runs.look
+    return {run.key for run in look.running} if look else set()
+
+
+def get_ended(runs: WorkerRuns) -> set[RunKey]:
+    """Get the runs whose ends the latest look lists.
+
+    Args:
+        runs: The runs of the worker.
+
+    Returns:
+        Their keys.
+    """
+    look = runs.look
+    return {ended.key for ended in look.ended} if look else set()
+
+
+def is_sure(progress: RunProgress) -> bool:
+    """Tell whether no start without an answer may still take effect.
+
+    Args:
+        progress: Calls for a run.
+
+    Returns:
+        Whether every start of it was answered.
+    """
+    return progress.unsure_until_s == float('-inf')
--- a/cumintack/coordination/runs/worker_runs.py
+++ b/cumintack/coordination/runs/worker_runs.py
@@ -10,17 +10,26 @@
 
 from cumintack.coordination.runs.pacing import (
     PaceState,
-    admit_runs,
-    compute_paces,
     follow_figures,
     take_weights,
 )
+from cumintack.coordination.runs.run_records import (
+    CallAnswer,
+    Look,
+    PaceRun,
+    RunProgress,
+    StartRun,
+    StopRun,
+    WorkerCall,
+    WorkerRuns,
+    get_ended,
+    get_running,
+    is_sure,
+)
 from cumintack.protocol.run_messages import (
     LAPSED,
     ClosedRun,
     EndedRun,
-    RunDetails,
-    RunKey,
     RunningRun,
     RunOrders,
     RunReport,
@@ -37,139 +46,10 @@
 # Seconds without an answer after which a worker counts as silent; two looks
 # that were due.
 SILENT_AFTER_S = 2.5
-# Seconds of a lease that must be left for a start to be worth sending.
-LEAST_LEASE_S = 0.5
 # Seconds added to a bound for the rounding of clocks to milliseconds.
 BOUND_MARGIN_S = 0.1
 
 
-class Look(msgspec.Struct, frozen=True):
-    """What a worker showed of its runs.
-
-    Attributes:
-        sent_at_s: When the look was sent.
-        answered_at_s: When its answer arrived.
-        lifetime: The life of the worker that answered.
-        running: What it holds.
-        ended: Ends not forgotten yet.
-    """
-
-    sent_at_s: float
-    answered_at_s: float
-    lifetime: str
-    running: tuple[RunningRun, ...]
-    ended: tuple[EndedRun, ...]
-
-
-class StartRun(msgspec.Struct, frozen=True):
-    """Start a run under a lease that ends at a time of the guard's clock."""
-
-    key: RunKey
-    details: RunDetails
-    term: int
-    lease_until_s: float
-
-
-class StopRun(msgspec.Struct, frozen=True):
-    """Stop a run, and have it refused if it arrives later."""
-
-    key: RunKey
-    term: int
-
-
-class PaceRun(msgspec.Struct, frozen=True):
-    """Let a run work at a share of its speed."""
-
-    key: RunKey
-    percent: int
-    term: int
-
-
-WorkerCall = StartRun | StopRun | PaceRun
-
-
-class CallAnswer(msgspec.Struct, frozen=True):
-    """How a call ended.
-
-    Attributes:
-        is_answered: Whether the worker answered; if not, the call may still
-            take effect.
-        is_done: Whether the worker did what was asked.
-        reason: Why it did not; empty if it may be asked again as it is.
-        sent_at_s: When it was sent.
-        answered_at_s: When the answer arrived, or the wait was given up.
-    """
-
-    is_answered: bool
-    is_done: bool
-    reason: str
-    sent_at_s: float
-    answered_at_s: float
-
-
-class RunProgress(msgspec.Struct):
-    """How far the calls for one run are.
-
-    Attributes:
-        is_in_flight: Whether a call for it is on its way.
-        unsure_until_s: Until when a start without an answer may take effect.
-        started_at_s: When a start was confirmed.
-        stopped_at_s: When a stop was confirmed.
-        retry_at_s: When the next call may be made.
-        refusal: Why the worker refused it, empty if it did not.
-        closed: Why it is surely absent, empty if it is not.
-    """
-
-    is_in_flight: bool = False
-    unsure_until_s: float = float('-inf')
-    started_at_s: float | None = None
-    stopped_at_s: float | None = None
-    retry_at_s: float = 0
-    refusal: str = ''
-    closed: str = ''
-
-
-class WorkerRuns(msgspec.Struct):
-    """Runs of one worker as its guard knows them.
-
-    Attributes:
-        bound_s: Until when leases given to the worker may run.
-        term: Term of the orders.
-        number: Number of the latest orders of the term.
-        facts: The worker, None until it announced itself.
-        is_gone: Whether this life of the worker is over.
-        heard_at_s: When it last answered.
-        grant_until_s: End of the lease that the leader gave.
-        settled_number: Ends up to it are recorded.
-        wanted: Runs that should be there.
-        stops: Runs that must be made absent.
-        details: What is known of runs.
-        progress: Calls for runs.
-        look: The latest look in this life.
-        unsure_until_s: Until when a lease without an answer may take effect.
-        former_calls: Calls to a former life that are still on their way and
-            may reach this one.
-        pace: The pace of filling tasks.
-    """
-
-    bound_s: float
-    term: int = 0
-    number: int = 0
-    facts: WorkerFacts | None = None
-    is_gone: bool = False
-    heard_at_s: float = float('-inf')
-    grant_until_s: float = float('-inf')
-    settled_number: int = 0
-    wanted: dict[RunKey, None] = {}
-    stops: dict[RunKey, None] = {}
-    details: dict[RunKey, RunDetails] = {}
-    progress: dict[RunKey, RunProgress] = {}
-    look: Look | None = None
-    unsure_until_s: float = float('-inf')
-    former_calls: int = 0
-    pace: PaceState = msgspec.field(default_factory=PaceState)
-
-
 def take_facts(runs: WorkerRuns, facts: WorkerFacts, now_s: float) -> bool:
     """Take what the worker says of itself.
 
@@ -250,7 +130,7 @@
 
 
 def _forget_unmentioned(runs: WorkerRuns) -> None:
-    kept = set(runs.wanted) | set(runs.stops) | _get_running(runs)
+    kept = set(runs.wanted) | set(runs.stops) | get_running(runs)
     for key in list(runs.details):
         if key not in kept:
             runs.details.pop(key)
@@ -259,16 +139,6 @@
             runs.progress.pop(started)
 
 
-def _get_running(runs: WorkerRuns) -> set[RunKey]:
-    look = runs.look
-    return {run.key for run in look.running} if look else set()
-
-
-def _get_ended(runs: WorkerRuns) -> set[RunKey]:
-    look = runs.look
-    return {ended.key for ended in look.ended} if look else set()
-
-
 def take_look(runs: WorkerRuns, look: Look) -> bool:
     """Take what the worker shows.
 
@@ -291,7 +161,7 @@
     runs.heard_at_s = look.answered_at_s
     runs.look = look
     has_news = known is None or known.ended != look.ended
-    shown = _get_running(runs) | _get_ended(runs)
+    shown = get_running(runs) | get_ended(runs)
     for key, progress in runs.progress.items():
         if key not in shown:
             has_news = _follow_absence(progress, look) or has_news
@@ -312,120 +182,6 @@
     return False
 
 
-def list_calls(runs: WorkerRuns, now_s: float) -> list[WorkerCall]:
-    """List the calls to make now; each is on its way afterwards.
-
-    Args:
-        runs: The runs of the worker.
-        now_s: The time.
-
-    Returns:
-        The calls.
-    """
-    look = runs.look
-    if look is None or runs.facts is None or runs.is_gone or not runs.term:
-        return []
-    running = _get_running(runs)
-    ended = _get_ended(runs)
-    calls: list[WorkerCall] = []
-    present = (*runs.stops, *running)
-    for key in present:
-        if key not in runs.wanted and key not in ended:
-            _add_stop(runs, key, calls, now_s)
-    for wanted in runs.wanted:
-        if wanted not in running and wanted not in ended:
-            _add_start(runs, wanted, calls, now_s)
-    _admit_starts(runs, look, calls)
-    calls.extend(_list_paces(runs, running, ended))
-    return calls
-
-
-def _admit_starts(
-    runs: WorkerRuns,
-    look: Look,
-    calls: list[WorkerCall],
-) -> None:
-    fresh = [
-        call.details
-        for call in calls
-        if isinstance(call, StartRun) and call.details.is_filling
-    ]
-    if fresh:
-        admit_runs(runs.pace, look.running, runs.details, fresh)
-
-
-def _list_paces(
-    runs: WorkerRuns,
-    running: set[RunKey],
-    ended: set[RunKey],
-) -> list[WorkerCall]:
-    started = {
-        key
-        for key, progress in runs.progress.items()
-        if progress.started_at_s is not None and not progress.refusal
-    }
-    present = (running | started) - ended
-    paces = compute_paces(runs.pace, present, runs.details)
-    calls: list[WorkerCall] = []
-    for key, percent in paces.items():
-        if key in runs.wanted:
-            runs.pace.sent[key] = percent
-            calls.append(PaceRun(key, percent, runs.term))
-    return calls
-
-
-def _get_free_progress(
-    runs: WorkerRuns,
-    key: RunKey,
-    now_s: float,
-) -> RunProgress | None:
-    progress = runs.progress.setdefault(key, RunProgress())
-    is_due = now_s >= progress.retry_at_s
-    if progress.is_in_flight or progress.closed or not is_due:
-        return None
-    return progress
-
-
-def _add_stop(
-    runs: WorkerRuns,
-    key: RunKey,
-    calls: list[WorkerCall],
-    now_s: float,
-) -> None:
-    progress = _get_free_progress(runs, key, now_s)
-    if progress is None:
-        return
-    progress.is_in_flight = True
-    calls.append(StopRun(key, runs.term))
-
-
-def _add_start(
-    runs: WorkerRuns,
-    key: RunKey,
-    calls: list[WorkerCall],
-    now_s: float,
-) -> None:
-    progress = _get_free_progress(runs, key, now_s)
-    if progress is None:
-        return
-    if progress.refusal:
-        _add_stop(runs, key, calls, now_s)
-        return
-    if progress.started_at_s is not None:
-        return
-    if runs.facts is not None and runs.facts.is_draining:
-        progress.refusal = 'the worker is draining'
-        if _is_sure(progress):
-            progress.closed = progress.refusal
-        return
-    details = runs.details.get(key)
-    if details is None or runs.grant_until_s - now_s <= LEAST_LEASE_S:
-        return
-    progress.is_in_flight = True
-    runs.bound_s = max(runs.bound_s, runs.grant_until_s)
-    calls.append(StartRun(key, details, runs.term, runs.grant_until_s))
-
-
 def take_former_answer(runs: WorkerRuns, call: WorkerCall) -> None:
     """Take note that a call to a former life of the worker is over.
 
@@ -483,14 +239,10 @@
     elif answer.reason:
         progress.refusal = answer.reason
         progress.retry_at_s = answer.answered_at_s
-        if _is_sure(progress):
+        if is_sure(progress):
             progress.closed = answer.reason
 
 
-def _is_sure(progress: RunProgress) -> bool:
-    return progress.unsure_until_s == float('-inf')
-
-
 def get_unsure_until(runs: WorkerRuns) -> float:
     """Get until when calls without an answer may take effect.
 
@@ -561,7 +313,7 @@
 
 def _close_lapsed(runs: WorkerRuns) -> None:
     """Close every run that is known; what is ordered later may still start."""
-    ended = _get_ended(runs)
+    ended = get_ended(runs)
     for key in (*runs.wanted, *runs.stops):
         if key not in ended:
             progress = runs.progress.setdefault(key, RunProgress())
--- a/cumintack/coordination/runs/worker_runs_test.py
+++ b/cumintack/coordination/runs/worker_runs_test.py
@@ -2,16 +2,18 @@
 
 import msgspec
 
-from cumintack.coordination.runs.worker_runs import (
+from cumintack.coordination.runs.run_calls import list_calls
+from cumintack.coordination.runs.run_records import (
     CallAnswer,
     Look,
     PaceRun,
     StartRun,
     StopRun,
     WorkerRuns,
+)
+from cumintack.coordination.runs.worker_runs import (
     create_report,
     is_lapsed,
-    list_calls,
     take_answer,
     take_facts,
     take_former_answer,
--- a/cumintack/daemon/workflow_guard_part.py
+++ b/cumintack/daemon/workflow_guard_part.py
@@ -11,15 +11,17 @@
 import structlog
 from result import Err, Ok, Result
 
-from cumintack.coordination.runs.worker_runs import (
+from cumintack.coordination.runs.run_calls import list_calls
+from cumintack.coordination.runs.run_records import (
     CallAnswer,
     Look,
     StartRun,
     WorkerCall,
     WorkerRuns,
+)
+from cumintack.coordination.runs.worker_runs import (
     create_report,
     get_grant,
-    list_calls,
     take_answer,
     take_end_of_life,
     take_facts,
--- a/cumintack/platform/worker_calls.py
+++ b/cumintack/platform/worker_calls.py
@@ -13,7 +13,7 @@
 import structlog
 from result import Err, Ok, Result
 
-from cumintack.coordination.runs.worker_runs import (
+from cumintack.coordination.runs.run_records import (
     CallAnswer,
     Look,
     PaceRun,
--- a/cumintack/platform/worker_calls_test.py
+++ b/cumintack/platform/worker_calls_test.py
@@ -5,7 +5,7 @@
 import pytest
 from result import Ok
 
-from cumintack.coordination.runs.worker_runs import (
+from cumintack.coordination.runs.run_records import (
     Look,
     PaceRun,
     StartRun,
