Workers on which everything stands still are left

A still worker lists no ends, so that it looks ever freer to placement than those that work, and its tasks waited for the end of the spell. Only failed ends were learned from before.

Change: if none of the tasks of a worker that should advance has for 1.2 s, nothing more is placed there and what loses little is moved. Stops that are decided at a report are logged like the others.

--- a/cumintack/coordination/runs/leading.py
+++ b/cumintack/coordination/runs/leading.py
@@ -31,11 +31,13 @@
     forget_unseen,
     take_sight,
 )
+from cumintack.coordination.runs.stalling import Advance, follow_advances
 from cumintack.coordination.runs.trust import take_failure, take_success
 from cumintack.coordination.runs.views import (
     WorkerView,
     add_task,
     compute_rooms,
+    is_open,
     list_placed,
 )
 from cumintack.protocol.run_messages import (
@@ -105,6 +107,7 @@
         pressure: What was learned of pairs of images.
         starved: Since when filling runs are starved.
         advice: What the outside adviser allows.
+        advances: How runs advanced lately.
     """
 
     settings: RunSettings
@@ -122,6 +125,7 @@
     pressure: PressureModel = msgspec.field(default_factory=PressureModel)
     starved: dict[RunKey, float] = {}
     advice: AdviceState = msgspec.field(default_factory=AdviceState)
+    advances: dict[RunKey, Advance] = {}
 
 
 RunEffect = Send | ProposeOwn
@@ -155,6 +159,7 @@
         lead.views[guard] = view
     _update_view(view, report, now_s)
     _learn_pressure(lead, tables, view, now_s)
+    _move_stalled(lead, tables, view, now_s)
     lead.is_dirty = True
     lead.informed[guard] = None
     return _propose_ends(lead, tables, ends, now_s)
@@ -192,6 +197,27 @@
         take_sight(lead.pressure, sight, now_s)
 
 
+def _move_stalled(
+    lead: RunLeadership,
+    tables: WorkflowTables,
+    view: WorkerView,
+    now_s: float,
+) -> None:
+    stalled = follow_advances(lead.advances, tables, view, now_s)
+    if not stalled or not _has_other(lead, view, now_s):
+        return
+    for key in stalled:
+        lead.stopping.setdefault(key, 'its worker stands still')
+
+
+def _has_other(lead: RunLeadership, view: WorkerView, now_s: float) -> bool:
+    return any(
+        other.facts.pool == view.facts.pool and is_open(other, now_s)
+        for other in lead.views.values()
+        if other is not view
+    )
+
+
 def _find_ends(
     lead: RunLeadership,
     tables: WorkflowTables,
--- a/cumintack/coordination/runs/pacing.py
+++ b/cumintack/coordination/runs/pacing.py
@@ -32,17 +32,16 @@
 # Factor for all images where no weight explains a disturbance.
 BLIND_FACTOR = 0.3
 # Seconds over its target after which a serving image is relieved of all that
-# fills beside it, step by step: five steps end far below the 4 s that are the
-# most allowed.
+# fills beside it: three steps, 2.4 s in all, where 4 s are the most allowed.
 PATIENCE_S = 0.9
 # Margin that an image must take from a task to count as pressing it; an idle
 # task has about 5.
 LEAST_PRESSURE = 0.1
 # Seconds between two changes; a figure covers the last half second.
 STEP_S = 0.5
-# Pace of an image beside a serving image with which it was never seen. At
-# full speed the heaviest pairs seen take twice the margin of an idle task; a
-# tenth of it stays within what most serving tasks have.
+# Pace of an image beside a serving image with which it was never seen. Six
+# tasks of the heaviest pairs take six margins at full speed; at a quarter of
+# it a task with half of its load stays about at its target.
 PROBE_PERCENT = 25.0
 # Most by which such a pace grows at a step: two steps reach full speed.
 PROBE_FACTOR = 3.2
--- /dev/null
+++ b/cumintack/coordination/runs/stalling.py
@@ -0,0 +1,86 @@
+"""Workers on which everything stands still, learned from percents.
+
+Answers workers that take what they are given, look healthy and let nothing
+advance for some seconds: nothing more goes there, and what would lose little
+by it goes on elsewhere. Only tasks that are neither lasting nor filling nor
+part of a gang tell: the others may rightly stand still.
+"""
+
+import msgspec
+
+from cumintack.coordination.runs.views import WorkerView, list_runs
+from cumintack.protocol.run_messages import RunKey
+from cumintack.state.workflows import StepSpec, WorkflowTables
+
+# Seconds without any advance after which a worker stands still: two reports
+# that were due, and a restore. A task of a minute advances by 2% meanwhile.
+STALLED_S = 1.2
+# Estimate in ms from which a task may show no advance for so long.
+LONG_MS = 60000
+# Seconds that nothing is placed after the last report without an advance.
+SHUN_S = 1.0
+# Percent up to which a task without checkpoints goes on elsewhere: a spell of
+# five seconds costs most tasks more than half of their work.
+HALF_PERCENT = 50
+
+
+class Advance(msgspec.Struct):
+    """How far a run was when it last advanced."""
+
+    guard: str
+    percent: float
+    at_s: float
+
+
+def follow_advances(
+    advances: dict[RunKey, Advance],
+    tables: WorkflowTables,
+    view: WorkerView,
+    now_s: float,
+) -> list[RunKey]:
+    """Follow how the runs of a worker advance, after a report of it.
+
+    Args:
+        advances: The latest advance by run, changed in place.
+        tables: The workflows.
+        view: The worker, shunned if it stands still.
+        now_s: The time.
+
+    Returns:
+        Runs that should go on elsewhere; empty if the worker works.
+    """
+    telling = {
+        key: step
+        for key, step in list_runs(tables, view)
+        if key in view.running and _is_telling(step)
+    }
+    _forget_absent(advances, view, telling)
+    for told in telling:
+        percent = view.running[told].percent
+        known = advances.get(told)
+        if known is None or known.percent != percent:
+            advances[told] = Advance(view.guard, percent, now_s)
+    latest_s = max((advances[run].at_s for run in telling), default=now_s)
+    if now_s - latest_s < STALLED_S:
+        return []
+    view.shunned_until_s = max(view.shunned_until_s, now_s + SHUN_S)
+    return [
+        key
+        for key, step in telling.items()
+        if step.is_checkpointed or view.running[key].percent <= HALF_PERCENT
+    ]
+
+
+def _is_telling(step: StepSpec) -> bool:
+    is_still = step.is_lasting or step.is_filling or step.is_gang
+    return not is_still and step.estimate_ms < LONG_MS
+
+
+def _forget_absent(
+    advances: dict[RunKey, Advance],
+    view: WorkerView,
+    telling: dict[RunKey, StepSpec],
+) -> None:
+    for key, known in list(advances.items()):
+        if known.guard == view.guard and key not in telling:
+            advances.pop(key)
--- /dev/null
+++ b/cumintack/coordination/runs/stalling_test.py
@@ -0,0 +1,127 @@
+"""A worker on which nothing advances gets nothing more."""
+
+import pytest
+
+from cumintack.coordination.runs.stalling import (
+    STALLED_S,
+    Advance,
+    follow_advances,
+)
+from cumintack.coordination.runs.views import WorkerView, is_open
+from cumintack.protocol.run_messages import RunKey, RunningRun, WorkerFacts
+from cumintack.state._workflow_changes import apply_workflow_operation
+from cumintack.state.queues import Pool, Queue, QueueConfiguration
+from cumintack.state.resources import Resources
+from cumintack.state.workflows import (
+    AcceptWorkflow,
+    RecordRuns,
+    ReplaceQueues,
+    RunStart,
+    StepSpec,
+    WorkflowSpec,
+    WorkflowTables,
+)
+
+WORKFLOW_ID = '0123456789abcdef'
+GUARD = '10.0.0.1'
+LIFE = '000001.worker'
+NEED = Resources(1000, 100)
+REPORT_S = 0.4
+
+
+class Worker:
+    """A worker with two runs of one step."""
+
+    def __init__(self, step: StepSpec) -> None:
+        """Place both tasks of the step."""
+        self.tables = WorkflowTables()
+        queue = Queue('queue', 'host', '/queue/', 'pool')
+        configuration = QueueConfiguration(1, (queue,), (Pool('pool'),))
+        spec = WorkflowSpec('text', (step,))
+        path = f'/queue/{WORKFLOW_ID}'
+        tasks = [f'{WORKFLOW_ID}.0.0.{index}' for index in range(2)]
+        starts = tuple(RunStart(task, 1, GUARD, LIFE) for task in tasks)
+        for operation in (
+            ReplaceQueues(configuration),
+            AcceptWorkflow(WORKFLOW_ID, 'host', path, spec),
+            RecordRuns(starts=starts),
+        ):
+            apply_workflow_operation(self.tables, operation, 0)
+        facts = WorkerFacts('worker', LIFE, 'pool', 'yard', NEED, ())
+        self.view = WorkerView(GUARD, facts, 0, 0, is_usable=True)
+        self.keys = [RunKey(task, 1) for task in tasks]
+        self.advances: dict[RunKey, Advance] = {}
+        self.now_s = 0.0
+
+    def report(self, *percents: float) -> list[RunKey]:
+        """Report how far the runs are, and return those to move."""
+        self.now_s += REPORT_S
+        self.view.heard_at_s = self.now_s
+        self.view.running = {
+            key: RunningRun(key, '', percent, 0, is_known=True)
+            for key, percent in zip(self.keys, percents, strict=True)
+        }
+        return follow_advances(
+            self.advances,
+            self.tables,
+            self.view,
+            self.now_s,
+        )
+
+    def stand_still(self, *percents: float) -> list[RunKey]:
+        """Report the same for as long as it takes."""
+        moved: list[RunKey] = []
+        for _ in range(int(STALLED_S / REPORT_S) + 2):
+            moved = self.report(*percents)
+        return moved
+
+    def is_open(self) -> bool:
+        """Tell whether something could be placed there."""
+        return is_open(self.view, self.now_s)
+
+
+def test_still_worker_is_shunned_and_left() -> None:
+    """What has done little goes on elsewhere; the rest stays."""
+    worker = Worker(StepSpec(2, NEED, 1000))
+    assert worker.stand_still(20, 80) == [worker.keys[0]]
+    assert not worker.is_open()
+
+
+def test_one_advance_clears_the_worker() -> None:
+    """A worker on which one of two tasks advances is sound."""
+    worker = Worker(StepSpec(2, NEED, 1000))
+    for percent in range(10):
+        assert not worker.report(20, percent)
+        assert worker.is_open()
+
+
+def test_worker_that_goes_on_is_used_again() -> None:
+    """The first advance ends the spell."""
+    worker = Worker(StepSpec(2, NEED, 1000))
+    worker.stand_still(20, 80)
+    worker.report(30, 90)
+    worker.now_s += 1
+    assert not worker.report(40, 95)
+    assert worker.is_open()
+
+
+def test_checkpointed_tasks_all_move() -> None:
+    """A task that keeps its work loses nothing by a move."""
+    worker = Worker(StepSpec(2, NEED, 1000, is_checkpointed=True))
+    assert worker.stand_still(20, 80) == worker.keys
+
+
+@pytest.mark.parametrize(
+    'step',
+    [
+        StepSpec(2, NEED, 1000, is_lasting=True),
+        StepSpec(2, NEED, 1000, is_filling=True),
+        StepSpec(2, NEED, 1000, is_gang=True),
+        StepSpec(2, NEED, 90000),
+    ],
+)
+def test_tasks_that_may_stand_still_tell_nothing(step: StepSpec) -> None:
+    """No worker is judged by them."""
+    worker = Worker(step)
+    assert not worker.stand_still(0, 0)
+    assert worker.is_open()
--- a/cumintack/daemon/workflow_desk.py
+++ b/cumintack/daemon/workflow_desk.py
@@ -93,7 +93,10 @@
         """Handle the report of a guard, if this is the leader."""
         if self._lead is None:
             return []
-        return handle_report(self._lead, tables, sender, report, now_s)
+        known = set(self._lead.stopping)
+        effects = handle_report(self._lead, tables, sender, report, now_s)
+        log_stops(self._lead.stopping, known)
+        return effects
 
     def follow(self, tables: WorkflowTables, operation: object) -> None:
         """Follow an operation that was applied."""
@@ -115,8 +118,7 @@
         known = set(self._lead.stopping)
         effects = handle_run_tick(self._lead, tables, now_s, now_ms)
         self.advice.tick(self._lead, tables, now_s, now_ms)
-        if len(self._lead.stopping) != len(known):
-            log_stops(self._lead.stopping, known)
+        log_stops(self._lead.stopping, known)
         return effects
 
     def is_waiting(self) -> bool:
