--- a/soak/group.py
+++ b/soak/group.py
@@ -56,12 +56,14 @@
 
     def close(self) -> None:
         """End every connection, and the thread."""
-        self._loop.call_soon_threadsafe(self._close)
+        asyncio.run_coroutine_threadsafe(self._close(), self._loop)
 
-    def _close(self) -> None:
-        for task in asyncio.all_tasks(self._loop):
+    async def _close(self) -> None:
+        tasks = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in tasks:
             task.cancel()
-        self._loop.call_soon(self._loop.stop)
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self._loop.stop()
 
     def _strike(self, listen: str, kind: str, is_begin: bool) -> None:
         faults = self._relay.faults[listen]
