--- a/bench/relay.py
+++ b/bench/relay.py
@@ -95,12 +95,13 @@
 class Relay:
     """All routes of one relay process."""
 
-    __slots__ = ('_channels', '_plan', '_random', 'faults')
+    __slots__ = ('_channels', '_opened', '_plan', '_random', 'faults')
 
     def __init__(self, plan: RelayPlan) -> None:
         """Prepare without listening."""
         self._plan = plan
         self._channels: list[Channel] = []
+        self._opened: list[Channel] = []
         self._random = random.Random(1)
         self.faults = {listen: RouteFaults() for listen in plan.routes}
 
@@ -140,6 +141,15 @@
             for writer in channel.writers:
                 writer.transport.abort()
 
+    def abort(self) -> None:
+        """End every connection that was ever opened, with all faults."""
+        for faults in self.faults.values():
+            faults.is_cut_there = False
+            faults.is_cut_back = False
+        for channel in self._opened:
+            for writer in channel.writers:
+                writer.transport.abort()
+
     def _take_channels(self, listen: str) -> list[Channel]:
         taken = [
             channel
@@ -178,6 +188,7 @@
             return
         channel = Channel(listen, self.faults[listen], (writer, far_writer))
         self._channels.append(channel)
+        self._opened.append(channel)
         await asyncio.gather(
             self._pump(reader, far_writer, channel, route.delay_ms),
             self._pump(far_reader, writer, channel, route.delay_ms),
--- a/soak/group.py
+++ b/soak/group.py
@@ -19,6 +19,8 @@
 STOP_TIMEOUT_S = 15.0
 GRACE_S = 2
 TORN_BYTES = 40
+# Seconds in which aborted connections end; they need a few passes of a loop.
+ABORT_S = 0.2
 
 
 def _create_address() -> str:
@@ -59,10 +61,8 @@
         asyncio.run_coroutine_threadsafe(self._close(), self._loop)
 
     async def _close(self) -> None:
-        tasks = asyncio.all_tasks() - {asyncio.current_task()}
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        self._relay.abort()
+        await asyncio.sleep(ABORT_S)
         self._loop.stop()
 
     def _strike(self, listen: str, kind: str, is_begin: bool) -> None:
