--- a/cumintack/daemon/node.py
+++ b/cumintack/daemon/node.py
@@ -10,6 +10,7 @@
 import pathlib
 import secrets
 import socket
+import threading
 from collections.abc import Callable
 from typing import Protocol
 
@@ -292,7 +293,9 @@
         if self._event_file is not None:
             self._event_file.close()
         if self._metrics_page is not None:
-            self._metrics_page.close()
+            # Its server waits for its threads, and callers would not.
+            page = self._metrics_page
+            threading.Thread(target=page.close, daemon=True).start()
         logger.info('node: stopped')
 
     def _is_done(self) -> bool:
