The relay keeps one list of its connections

Cause: read again, the relay held a list of connections that faults may strike and another of all; the first can be told from the second by a mark that each connection has. soak/worker.py had a function that nobody called.

Change: one list; a connection resets itself; the dead function is gone.

--- a/bench/relay.py
+++ b/bench/relay.py
@@ -91,17 +91,21 @@
         self.writers = writers
         self.is_forgotten = False
 
+    def abort(self) -> None:
+        """Reset both sides."""
+        for writer in self.writers:
+            writer.transport.abort()
+
 
 class Relay:
     """All routes of one relay process."""
 
-    __slots__ = ('_channels', '_opened', '_plan', '_random', 'faults')
+    __slots__ = ('_channels', '_plan', '_random', 'faults')
 
     def __init__(self, plan: RelayPlan) -> None:
         """Prepare without listening."""
         self._plan = plan
         self._channels: list[Channel] = []
-        self._opened: list[Channel] = []
         self._random = random.Random(1)
         self.faults = {listen: RouteFaults() for listen in plan.routes}
 
@@ -132,34 +136,29 @@
 
     def forget(self, listen: str = '') -> None:
         """Forget the open connections of a route, or of all."""
-        for channel in self._take_channels(listen):
+        for channel in self._list_live(listen):
             channel.is_forgotten = True
 
     def reset(self, listen: str) -> None:
         """Reset the open connections of a route."""
-        for channel in self._take_channels(listen):
-            for writer in channel.writers:
-                writer.transport.abort()
+        for channel in self._list_live(listen):
+            channel.abort()
 
     def abort(self) -> None:
         """End every connection that was ever opened, with all faults."""
         for faults in self.faults.values():
             faults.is_cut_there = False
             faults.is_cut_back = False
-        for channel in self._opened:
-            for writer in channel.writers:
-                writer.transport.abort()
+        for channel in self._channels:
+            channel.abort()
 
-    def _take_channels(self, listen: str) -> list[Channel]:
-        taken = [
+    def _list_live(self, listen: str) -> list[Channel]:
+        """List connections that are not forgotten, which stay silent."""
+        return [
             channel
             for channel in self._channels
-            if not listen or channel.listen == listen
-        ]
-        self._channels = [
-            channel for channel in self._channels if channel not in taken
+            if not channel.is_forgotten and listen in {'', channel.listen}
         ]
-        return taken
 
     def _create_acceptor(self, listen: str, route: Route) -> Acceptor:
         async def accept(
@@ -188,7 +187,6 @@
             return
         channel = Channel(listen, self.faults[listen], (writer, far_writer))
         self._channels.append(channel)
-        self._opened.append(channel)
         await asyncio.gather(
             self._pump(reader, far_writer, channel, route.delay_ms),
             self._pump(far_reader, writer, channel, route.delay_ms),
--- a/soak/worker.py
+++ b/soak/worker.py
@@ -19,7 +19,6 @@
     WireStart,
     WireStop,
 )
-from cumintack.state.resources import Resources
 from cumintack.transport.http_client import HttpClient
 from cumintack.transport.http_server import (
     HttpRequest,
@@ -310,8 +309,3 @@
     def _answer(self, status: HTTPStatus, **fields: object) -> HttpResponse:
         body = {'clock_ms': int(self._now_s() * MS_PER_S), **fields}
         return HttpResponse(status, msgspec.json.encode(body))
-
-
-def create_holds(names: tuple[str, ...]) -> dict[str, Resources]:
-    """Create what the workers hold: room for a dozen tasks each."""
-    return {name: Resources(12000, 12000) for name in names}
