Keep the slots of a restarted guard's previous process in use

Cause: the number of inherited slots was the upstream's count less all attempts of the new process. Ruled out: reconcile_busy ending attempts, which only takes attempts older than its age limit.

--- a/cumintack/coordination/admission.py
+++ b/cumintack/coordination/admission.py
@@ -113,8 +113,9 @@
         service: Service of the upstream, empty while there is none.
         slots: Concurrent requests that the upstream announced it can serve.
         busy: Slots in use by requests that this incarnation forwarded.
-        inherited_busy: Slots in use by requests that a previous incarnation of
-            the guard forwarded, as reported by the upstream.
+        inherited_busy: Most slots in use by requests that a previous
+            incarnation of the guard forwarded; None until the upstream has
+            reported how many requests it works on.
         is_leaving: Whether new attempts are refused.
         queue: Heap of queued attempts, with those withdrawn since.
         queued: Number of queued attempts that were not withdrawn.
@@ -131,7 +132,7 @@
     service: str = ''
     slots: int = 0
     busy: int = 0
-    inherited_busy: int = 0
+    inherited_busy: int | None = None
     is_leaving: bool = False
     queue: list[QueuedAttempt] = []
     queued: int = 0
@@ -264,7 +265,7 @@
 
 
 def _has_free_slot(admission: Admission) -> bool:
-    return admission.busy + admission.inherited_busy < admission.slots
+    return admission.busy + (admission.inherited_busy or 0) < admission.slots
 
 
 def _resend_answer(record: AttemptRecord) -> list[Effect]:
@@ -510,7 +511,7 @@
     Returns:
         Answers for lost attempts, and queued requests to forward.
     """
-    admission.inherited_busy = max(0, busy - admission.busy)
+    _update_inherited_busy(admission, busy, now_s)
     min_age_s = max(
         MIN_RECONCILE_AGE_S, RECONCILE_AGE_FACTOR * admission.service_time_s
     )
@@ -541,6 +542,25 @@
     return effects
 
 
+def _update_inherited_busy(
+    admission: Admission, busy: int, now_s: float
+) -> None:
+    """Lower the bound on the slots that a previous incarnation still uses.
+
+    Only attempts that were forwarded some time ago are certain to be among
+    the requests that the upstream reports: a report may be older than the
+    latest attempts.
+    """
+    counted = sum(
+        now_s - admission.attempts[key].started_at_s > MIN_RECONCILE_AGE_S
+        for key in admission.running
+    )
+    bound = max(0, busy - counted)
+    if admission.inherited_busy is not None:
+        bound = min(bound, admission.inherited_busy)
+    admission.inherited_busy = bound
+
+
 def _end_lost_attempt(
     admission: Admission,
     key: AttemptKey,
