--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -15,6 +15,7 @@
     scenario_control,
     scenario_cost,
     scenario_entry,
+    scenario_leader_scale,
     scenario_path,
     scenario_scheduler,
     scenario_service,
@@ -131,6 +132,14 @@
     scenario_scheduler.run_passes(seconds)
 
 
+@main.command('leader-scale')
+@click.option('--seconds', default=3.0)
+@click.option('--most', default=1000)
+def leader_scale_command(seconds: float, most: int) -> None:
+    """Measure the leader's run scheduling from 40 to 1,000 workers."""
+    scenario_leader_scale.run(seconds, most)
+
+
 @main.command('tables')
 def tables_command() -> None:
     """Measure tables with a day of jobs, and the cost of a mass cancel."""
--- a/cumintack/coordination/runs/colocation.py
+++ b/cumintack/coordination/runs/colocation.py
@@ -7,12 +7,8 @@
     get_weight,
     is_learned,
 )
-from cumintack.coordination.runs.worker_views import (
-    WorkerView,
-    list_runs_with_steps,
-)
+from cumintack.coordination.runs.worker_views import PlacedRuns, WorkerView
 from cumintack.protocol.run_messages import PairWeight
-from cumintack.state.workflows import WorkflowTables
 
 # Smaller weights are sent as 0: with this one, a hundred cores take a tenth of
 # the margin of a latency-critical task without load.
@@ -21,12 +17,12 @@
 
 
 def list_observations(
-    tables: WorkflowTables, view: WorkerView
+    placed_runs: PlacedRuns, view: WorkerView
 ) -> list[Observation]:
     """List the observations that the latest report of a worker yields.
 
     Args:
-        tables: The replicated workflow tables.
+        placed_runs: The recorded runs on the worker.
         view: The worker as last reported.
 
     Returns:
@@ -34,8 +30,9 @@
     """
     cores: dict[str, float] = {}
     measured_runs = []
-    for key, step in list_runs_with_steps(tables, view):
-        run = view.running.get(key)
+    for placed in placed_runs.values():
+        step = placed.step
+        run = view.running.get(placed.key)
         if run is None:
             continue
         if step.is_best_effort:
@@ -43,21 +40,19 @@
             cores[step.image] = cores.get(step.image, 0) + used
         elif step.target_ms and run.measurement:
             measured_runs.append(
-                (key, step.image, step.target_ms / run.measurement)
+                (placed.key, step.image, step.target_ms / run.measurement)
             )
     return [Observation(*measured_run, cores) for measured_run in measured_runs]
 
 
 def list_learned_weights(
-    tables: WorkflowTables,
-    view: WorkerView,
+    placed_runs: PlacedRuns,
     interference: InterferenceModel,
 ) -> tuple[PairWeight, ...]:
     """List the learned weights of the image pairs on a worker.
 
     Args:
-        tables: The replicated workflow tables.
-        view: The worker as last reported.
+        placed_runs: The recorded runs on the worker.
         interference: The interference model.
 
     Returns:
@@ -65,7 +60,8 @@
     """
     critical_images: dict[str, None] = {}
     best_effort_images: dict[str, None] = {}
-    for _key, step in list_runs_with_steps(tables, view):
+    for placed in placed_runs.values():
+        step = placed.step
         if step.is_best_effort:
             best_effort_images[step.image] = None
         elif step.target_ms:
--- a/cumintack/coordination/runs/evacuation.py
+++ b/cumintack/coordination/runs/evacuation.py
@@ -4,28 +4,23 @@
 another worker resumes it from its checkpoint.
 """
 
-from cumintack.coordination.runs.worker_views import WorkerView
+from cumintack.coordination.runs.worker_views import PlacedRuns, WorkerView
 from cumintack.protocol.run_messages import RunKey
-from cumintack.state.workflows import (
-    StepSpec,
-    WorkflowTables,
-    get_step,
-    get_task,
-)
+from cumintack.state.workflows import StepSpec
 
 # Progress in percent from which a run is left to finish on its worker.
 NEARLY_DONE_PERCENT = 80
 
 
 def list_runs_to_evacuate(
-    tables: WorkflowTables,
+    placed_runs: PlacedRuns,
     view: WorkerView,
     now_s: float,
 ) -> list[RunKey]:
     """List the runs to stop on a draining worker.
 
     Args:
-        tables: The replicated workflow tables.
+        placed_runs: The recorded runs on the worker.
         view: The worker as last reported.
         now_s: Current time of the monotonic clock, in seconds.
 
@@ -36,18 +31,13 @@
         view.facts.leaves_in_ms - (now_s - view.last_report_at_s) * 1000
     )
     run_keys = []
-    for task_id, key in tables.index.placed.get(view.guard, {}).items():
-        record = get_task(tables, key)
-        if record is None:
-            continue
-        step = get_step(tables, key.step_key)
-        run_key = RunKey(task_id, record.run)
-        run = view.running.get(run_key)
+    for placed in placed_runs.values():
+        run = view.running.get(placed.key)
         percent = run.percent if run else 0
-        if step.is_long_running or not _is_finishing_in_time(
-            step, percent, time_left_ms
+        if placed.step.is_long_running or not _is_finishing_in_time(
+            placed.step, percent, time_left_ms
         ):
-            run_keys.append(run_key)
+            run_keys.append(placed.key)
     return run_keys
 
 
--- a/cumintack/coordination/runs/placement.py
+++ b/cumintack/coordination/runs/placement.py
@@ -5,7 +5,7 @@
 behind it.
 """
 
-from collections.abc import Iterator
+from collections.abc import Container, Iterator
 
 import msgspec
 
@@ -14,6 +14,15 @@
     find_valid_ticket,
     needs_advice,
 )
+from cumintack.coordination.runs.candidate_index import (
+    CandidateIndex,
+    TaskKind,
+    add_proposed_start,
+    find_best_candidate,
+    get_task_kind,
+    get_usage,
+    remove_proposed_start,
+)
 from cumintack.coordination.runs.failure_tracking import is_on_probation
 from cumintack.coordination.runs.interference_model import (
     MILLI_PER_CORE,
@@ -21,11 +30,10 @@
     get_weight,
 )
 from cumintack.coordination.runs.pacing import MIN_INTERFERENCE, TARGET_MARGIN
-from cumintack.coordination.runs.step_ranking import rank_step
+from cumintack.coordination.runs.step_ranking import StepRank
 from cumintack.coordination.runs.worker_views import (
     WorkerUsage,
     WorkerView,
-    add_task_usage,
     compute_free_resources,
     compute_unused_millicores,
     get_rack,
@@ -53,33 +61,30 @@
 MIN_SPEED = 0.4
 
 
-class CandidateWorker(msgspec.Struct):
-    """A worker that accepts tasks, and its usage during a pass."""
-
-    view: WorkerView
-    usage: WorkerUsage
-
-
 class SchedulingPass(msgspec.Struct):
     """One pass over the waiting steps.
 
     Attributes:
         tables: The replicated workflow tables.
-        candidates: Schedulable workers, by name of their guard.
+        views: The workers, by name of their guard.
+        index: The usage of the workers, and the best ones by kind of task.
         proposed_task_ids: Tasks whose start is already proposed.
         interference: The interference model of pairs of images.
         advice: The advice received from the external adviser.
         now_s: Time of the pass on the monotonic clock, in seconds.
         starts: Starts decided so far.
+        exhausted_kinds: Kinds of tasks that fit nowhere any more.
     """
 
     tables: WorkflowTables
-    candidates: dict[str, CandidateWorker]
-    proposed_task_ids: set[str]
+    views: dict[str, WorkerView]
+    index: CandidateIndex
+    proposed_task_ids: Container[str]
     interference: InterferenceModel
     advice: AdviceState
     now_s: float
     starts: list[RunStart] = []
+    exhausted_kinds: set[TaskKind] = set()
 
 
 class TaskRequest(msgspec.Struct, frozen=True):
@@ -89,65 +94,29 @@
         key: The task.
         step: The specification of its step.
         record: Its replicated record.
-        pool: The pool whose workers may run it.
+        kind: Its kind.
         needs_ticket: Whether the external adviser must admit the worker.
     """
 
     key: TaskKey
     step: StepSpec
     record: TaskRecord
-    pool: str
+    kind: TaskKind
     needs_ticket: bool
 
 
-def create_scheduling_pass(
-    tables: WorkflowTables,
-    views: dict[str, WorkerView],
-    usage_by_guard: dict[str, WorkerUsage],
-    proposed_task_ids: set[str],
-    models: tuple[InterferenceModel, AdviceState],
-    now_s: float,
-) -> SchedulingPass:
-    """Create a scheduling pass.
-
-    Args:
-        tables: The replicated workflow tables.
-        views: The workers, by name of their guard.
-        usage_by_guard: The usage of each worker, changed by the pass.
-        proposed_task_ids: Tasks whose start is already proposed.
-        models: The interference model, and the advice of the external
-            adviser.
-        now_s: Current time of the monotonic clock, in seconds.
-
-    Returns:
-        A pass without starts.
-    """
-    candidates = {
-        guard: CandidateWorker(view, usage_by_guard[guard])
-        for guard, view in views.items()
-        if is_schedulable(view, now_s)
-    }
-    return SchedulingPass(tables, candidates, proposed_task_ids, *models, now_s)
-
-
 def place_waiting(
-    scheduling_pass: SchedulingPass, now_ms: float
+    scheduling_pass: SchedulingPass, ranks: list[StepRank]
 ) -> list[RunStart]:
     """Place the waiting tasks that fit.
 
     Args:
         scheduling_pass: The current scheduling pass.
-        now_ms: Current wall-clock time in ms, by which workflows are ranked.
+        ranks: The waiting steps in the order in which they are placed.
 
     Returns:
         The starts to record.
     """
-    if not scheduling_pass.candidates:
-        return []
-    tables = scheduling_pass.tables
-    ranks = sorted(
-        rank_step(tables, key, now_ms) for key in tables.index.waiting
-    )
     for rank in ranks:
         if len(scheduling_pass.starts) >= MAX_STARTS:
             break
@@ -156,26 +125,27 @@
 
 
 def _place_step(scheduling_pass: SchedulingPass, key: StepKey) -> None:
-    step = get_step(scheduling_pass.tables, key)
+    tables = scheduling_pass.tables
+    kind = get_task_kind(scheduling_pass.index, tables, key)
+    if kind in scheduling_pass.exhausted_kinds:
+        return
+    step = get_step(tables, key)
     if step.is_gang:
-        _place_gang(scheduling_pass, key, step)
+        _place_gang(scheduling_pass, key, step, kind)
         return
-    for request in _iter_task_requests(scheduling_pass, key, step):
-        candidate = _choose_candidate(scheduling_pass, request)
-        if candidate is None:
+    for request in _iter_task_requests(scheduling_pass, key, step, kind):
+        view = _choose_worker(scheduling_pass, request)
+        if view is None:
             return
-        _record_start(
-            scheduling_pass, request, candidate, request.record.run + 1
-        )
+        _record_start(scheduling_pass, request, view, request.record.run + 1)
 
 
 def _iter_task_requests(
     scheduling_pass: SchedulingPass,
     key: StepKey,
     step: StepSpec,
+    kind: TaskKind,
 ) -> Iterator[TaskRequest]:
-    workflow = scheduling_pass.tables.workflows[key.workflow_id]
-    pool = workflow.queue.pool
     needs_ticket = needs_advice(scheduling_pass.tables, key)
     waiting = scheduling_pass.tables.index.waiting[key]
     for index in list(waiting.indexes):
@@ -185,169 +155,215 @@
             format_task_id(task_key) in scheduling_pass.proposed_task_ids
         )
         if record is not None and not is_proposed:
-            yield TaskRequest(task_key, step, record, pool, needs_ticket)
+            yield TaskRequest(task_key, step, record, kind, needs_ticket)
 
 
 def _place_gang(
-    scheduling_pass: SchedulingPass, key: StepKey, step: StepSpec
+    scheduling_pass: SchedulingPass,
+    key: StepKey,
+    step: StepSpec,
+    kind: TaskKind,
 ) -> None:
-    requests = list(_iter_task_requests(scheduling_pass, key, step))
+    requests = list(_iter_task_requests(scheduling_pass, key, step, kind))
     if len(requests) < step.task_count:
         return
-    usage_by_guard = {
-        guard: msgspec.structs.replace(
-            candidate.usage,
-            task_count_by_step=dict(candidate.usage.task_count_by_step),
-            latency_margins=list(candidate.usage.latency_margins),
-            unmeasured_cores=dict(candidate.usage.unmeasured_cores),
-        )
-        for guard, candidate in scheduling_pass.candidates.items()
-    }
     start_count = len(scheduling_pass.starts)
     run = 1 + max(request.record.run for request in requests)
     for request in requests:
-        candidate = _choose_candidate(scheduling_pass, request)
-        if candidate is None:
+        view = _choose_worker(scheduling_pass, request)
+        if view is None:
+            for start in scheduling_pass.starts[start_count:]:
+                remove_proposed_start(
+                    scheduling_pass.index, start.guard, start.task_id
+                )
             del scheduling_pass.starts[start_count:]
-            for guard, usage in usage_by_guard.items():
-                scheduling_pass.candidates[guard].usage = usage
             return
-        _record_start(scheduling_pass, request, candidate, run)
+        _record_start(scheduling_pass, request, view, run)
 
 
 def _record_start(
     scheduling_pass: SchedulingPass,
     request: TaskRequest,
-    candidate: CandidateWorker,
+    view: WorkerView,
     run: int,
 ) -> None:
-    add_task_usage(candidate.usage, request.key.step_key, request.step)
-    view = candidate.view
     view.trial_placed_at_s = scheduling_pass.now_s
+    task_id = format_task_id(request.key)
+    add_proposed_start(
+        scheduling_pass.index, scheduling_pass.tables, view.guard, task_id
+    )
     scheduling_pass.starts.append(
-        RunStart(
-            format_task_id(request.key),
-            run,
-            view.guard,
-            view.facts.lifetime,
-        ),
+        RunStart(task_id, run, view.guard, view.facts.lifetime)
     )
 
 
-def _choose_candidate(
+def _choose_worker(
     scheduling_pass: SchedulingPass, request: TaskRequest
-) -> CandidateWorker | None:
-    best: CandidateWorker | None = None
+) -> WorkerView | None:
+    if request.needs_ticket:
+        return _choose_by_scan(scheduling_pass, request)
+    best = find_candidate(scheduling_pass, request.kind)
+    if best is None:
+        scheduling_pass.exhausted_kinds.add(request.kind)
+        return None
+    if request.record.failures:
+        return _choose_by_scan(scheduling_pass, request)
+    return best
+
+
+def find_candidate(
+    scheduling_pass: SchedulingPass, kind: TaskKind
+) -> WorkerView | None:
+    """Find the best worker for a task of a kind that has not failed yet.
+
+    Args:
+        scheduling_pass: The current scheduling pass.
+        kind: The kind of task.
+
+    Returns:
+        The worker, None if no worker can run it.
+    """
+    return find_best_candidate(
+        scheduling_pass.index,
+        kind,
+        scheduling_pass.tables,
+        scheduling_pass.views,
+        lambda view, usage: _rate_worker(scheduling_pass, view, usage, kind),
+        scheduling_pass.now_s,
+    )
+
+
+def _choose_by_scan(
+    scheduling_pass: SchedulingPass, request: TaskRequest
+) -> WorkerView | None:
+    """Choose a worker for a task whose own history or tickets matter."""
+    best: WorkerView | None = None
     best_score = float('-inf')
-    for candidate in scheduling_pass.candidates.values():
-        if not _can_run(scheduling_pass, candidate, request):
-            continue
-        score = _compute_score(scheduling_pass, candidate, request)
-        if score > best_score:
-            best = candidate
+    for view in _list_acceptable_workers(scheduling_pass, request):
+        usage = get_usage(scheduling_pass.index, scheduling_pass.tables, view)
+        score = _rate_worker(scheduling_pass, view, usage, request.kind)
+        if score is not None and score > best_score:
+            best = view
             best_score = score
     return best
 
 
-def _can_run(
+def _list_acceptable_workers(
+    scheduling_pass: SchedulingPass, request: TaskRequest
+) -> list[WorkerView]:
+    """Return the workers without those that the history of a task rules out.
+
+    A task that has failed runs on a worker where it did not, if there is one,
+    and never as the only task of a worker on probation.
+    """
+    record = request.record
+    now_s = scheduling_pass.now_s
+    schedulable = [
+        view
+        for view in scheduling_pass.views.values()
+        if is_schedulable(view, now_s)
+    ]
+    untried = [
+        view for view in schedulable if view.guard not in record.failed_on
+    ]
+    return [
+        view
+        for view in untried or schedulable
+        if not (record.failures and is_on_probation(view, now_s))
+        and (
+            not request.needs_ticket
+            or _has_ticket(scheduling_pass, view, request)
+        )
+    ]
+
+
+def _rate_worker(
     scheduling_pass: SchedulingPass,
-    candidate: CandidateWorker,
-    request: TaskRequest,
-) -> bool:
-    worker_info = candidate.view.facts
-    step = request.step
-    if worker_info.pool != request.pool:
-        return False
-    if step.label and step.label not in worker_info.labels:
-        return False
-    if not fits_within(
-        get_reserved_resources(step),
-        compute_free_resources(candidate.view, candidate.usage),
-    ):
-        return False
-    count = candidate.usage.task_count_by_step.get(request.key.step_key, 0)
-    if step.max_per_worker and count >= step.max_per_worker:
-        return False
-    if request.needs_ticket and not _has_ticket(
-        scheduling_pass, candidate, request
-    ):
+    view: WorkerView,
+    usage: WorkerUsage,
+    kind: TaskKind,
+) -> float | None:
+    """Return the score of a worker, None if it cannot run the task."""
+    if not _can_run(view, usage, kind):
+        return None
+    if is_on_probation(view, scheduling_pass.now_s):
+        if view.trial_placed_at_s >= view.excluded_until_s:
+            return None
+    step = kind.step
+    if step.target_ms:
+        return _compute_latency_critical_score(view, usage, step)
+    score = compute_unused_millicores(view, usage)
+    if step.data_rack and step.data_rack == get_rack(view.facts):
+        score += WEIGHT_DATA_RACK
+    if step.is_best_effort:
+        speed = estimate_speed(scheduling_pass.interference, view, usage, step)
+        if speed < MIN_SPEED:
+            return None
+        score += WEIGHT_SPEED * speed
+    return score
+
+
+def _can_run(view: WorkerView, usage: WorkerUsage, kind: TaskKind) -> bool:
+    step = kind.step
+    if view.facts.pool != kind.pool:
         return False
-    if (
-        step.is_best_effort
-        and estimate_speed(scheduling_pass, candidate, step) < MIN_SPEED
-    ):
+    if step.label and step.label not in view.facts.labels:
         return False
-    return _is_trusted(scheduling_pass, candidate, request)
+    if kind.limited_step is not None:
+        count = usage.task_count_by_step.get(kind.limited_step, 0)
+        if count >= step.max_per_worker:
+            return False
+    return fits_within(
+        get_reserved_resources(step), compute_free_resources(view, usage)
+    )
 
 
 def _has_ticket(
     scheduling_pass: SchedulingPass,
-    candidate: CandidateWorker,
+    view: WorkerView,
     request: TaskRequest,
 ) -> bool:
-    lifetime = candidate.view.facts.lifetime
-    step = request.key.step_key
     ticket = find_valid_ticket(
-        scheduling_pass.advice, step, lifetime, scheduling_pass.now_s
+        scheduling_pass.advice,
+        request.key.step_key,
+        view.facts.lifetime,
+        scheduling_pass.now_s,
     )
     return ticket is not None
 
 
 def estimate_speed(
-    scheduling_pass: SchedulingPass, candidate: CandidateWorker, step: StepSpec
+    interference: InterferenceModel,
+    view: WorkerView,
+    usage: WorkerUsage,
+    step: StepSpec,
 ) -> float:
     """Estimate the share of its full speed that a best-effort task would get.
 
     Args:
-        scheduling_pass: The current scheduling pass.
-        candidate: The candidate worker.
+        interference: The interference model of pairs of images.
+        view: The worker as last reported.
+        usage: The usage of the worker.
         step: The specification of the step.
 
     Returns:
         1 at full speed, 0 or less if it could not run at all.
     """
     cores = step.need.cores_milli / MILLI_PER_CORE
-    unused = (
-        compute_unused_millicores(candidate.view, candidate.usage)
-        / MILLI_PER_CORE
-    )
+    unused = compute_unused_millicores(view, usage) / MILLI_PER_CORE
     speed = min(1, unused / cores) if cores else 1
-    for image, margin in candidate.usage.latency_margins:
-        weight = get_weight(scheduling_pass.interference, image, step.image)
-        interference = weight * cores
-        if interference < MIN_INTERFERENCE:
+    for image, margin in usage.latency_margins:
+        disturbance = get_weight(interference, image, step.image) * cores
+        if disturbance < MIN_INTERFERENCE:
             continue
         available = margin - TARGET_MARGIN
-        for (
-            unmeasured_image,
-            unmeasured_cores,
-        ) in candidate.usage.unmeasured_cores.items():
-            available -= (
-                get_weight(
-                    scheduling_pass.interference, image, unmeasured_image
-                )
-                * unmeasured_cores
-            )
-        speed = min(speed, available / interference)
+        for other_image, other_cores in usage.unmeasured_cores.items():
+            weight = get_weight(interference, image, other_image)
+            available -= weight * other_cores
+        speed = min(speed, available / disturbance)
     return speed
 
 
-def _is_trusted(
-    scheduling_pass: SchedulingPass,
-    candidate: CandidateWorker,
-    request: TaskRequest,
-) -> bool:
-    view = candidate.view
-    if is_on_probation(view, scheduling_pass.now_s):
-        is_probe_placed = view.trial_placed_at_s >= view.excluded_until_s
-        if is_probe_placed or request.record.failures:
-            return False
-    if view.guard not in request.record.failed_on:
-        return True
-    others = set(scheduling_pass.candidates) - set(request.record.failed_on)
-    return not others
-
-
 # Weights of the criteria for a worker; each outweighs all smaller ones.
 WEIGHT_DATA_RACK = 1e9
 WEIGHT_SHARED = 2e7
@@ -355,34 +371,16 @@
 WEIGHT_SPEED = 1e6
 
 
-def _compute_score(
-    scheduling_pass: SchedulingPass,
-    candidate: CandidateWorker,
-    request: TaskRequest,
-) -> float:
-    step = request.step
-    score = compute_unused_millicores(candidate.view, candidate.usage)
-    if step.data_rack and step.data_rack == get_rack(candidate.view.facts):
-        score += WEIGHT_DATA_RACK
-    if step.is_best_effort:
-        score += WEIGHT_SPEED * estimate_speed(scheduling_pass, candidate, step)
-    if step.target_ms:
-        return _compute_latency_critical_score(candidate, step)
-    return score
-
-
 def _compute_latency_critical_score(
-    candidate: CandidateWorker, step: StepSpec
+    view: WorkerView, usage: WorkerUsage, step: StepSpec
 ) -> float:
     """Prefer workers with latency-critical tasks, and the fullest of these.
 
     Packing latency-critical tasks on few workers leaves the others to
     best-effort tasks, which interfere with nothing there.
     """
-    score = -float(
-        compute_free_resources(candidate.view, candidate.usage).cores_milli
-    )
-    images = {image for image, _margin in candidate.usage.latency_margins}
+    score = -float(compute_free_resources(view, usage).cores_milli)
+    images = {image for image, _margin in usage.latency_margins}
     if not images:
         score -= WEIGHT_SHARED
     if step.image in images:
--- a/cumintack/coordination/runs/run_leadership.py
+++ b/cumintack/coordination/runs/run_leadership.py
@@ -13,9 +13,17 @@
     discard_ticket,
     prune_inactive_steps,
 )
-from cumintack.coordination.runs.colocation import (
-    list_observations,
+from cumintack.coordination.runs.candidate_index import (
+    CandidateIndex,
+    get_placed_runs,
+    mark_all_changed,
+    mark_changed,
+    prune_index,
+    record_end,
+    record_start,
+    remove_proposed_start,
 )
+from cumintack.coordination.runs.colocation import list_observations
 from cumintack.coordination.runs.evacuation import list_runs_to_evacuate
 from cumintack.coordination.runs.failure_tracking import (
     record_failure,
@@ -29,7 +37,6 @@
 )
 from cumintack.coordination.runs.placement import (
     SchedulingPass,
-    create_scheduling_pass,
     place_waiting,
 )
 from cumintack.coordination.runs.run_ends import (
@@ -40,18 +47,21 @@
     OrderContext,
     create_run_orders,
 )
-from cumintack.coordination.runs.stall_detection import (
-    ProgressMark,
-    detect_stalled_runs,
+from cumintack.coordination.runs.stall_detection import detect_stalled_runs
+from cumintack.coordination.runs.starvation import (
+    choose_runs_to_migrate,
+    update_starved_runs,
+)
+from cumintack.coordination.runs.step_ranking import (
+    CachedRank,
+    rank_waiting_steps,
 )
-from cumintack.coordination.runs.starvation import choose_runs_to_migrate
 from cumintack.coordination.runs.unanswered_calls import MAX_CALL_DELAY_S
 from cumintack.coordination.runs.worker_views import (
+    PlacedRun,
+    PlacedRuns,
     WorkerView,
-    add_task_usage,
-    compute_usage_by_guard,
     is_schedulable,
-    list_placed_runs,
 )
 from cumintack.protocol.run_messages import (
     RunKey,
@@ -64,8 +74,8 @@
     RunEnd,
     RunEndKind,
     RunStart,
+    StepKey,
     WorkflowTables,
-    get_step,
     get_task,
     parse_task_id,
 )
@@ -111,7 +121,8 @@
         leading_since_s: When this leader began to lead.
         views: The workers, by name of their guard.
         orders_number: Number of the latest orders in this term.
-        proposed_ends: Runs whose end is proposed and not applied yet.
+        proposed_ends: Guards of the runs whose end is proposed and not applied
+            yet.
         proposed_starts: Starts proposed and not applied yet, by task.
         stop_reasons: Runs that are stopped in order to be placed elsewhere,
             each with the reason.
@@ -120,9 +131,9 @@
         sweep_at_s: When the next check for silent workers is due.
         guards_to_update: Names of guards that need new orders.
         interference: The interference model of pairs of images.
-        starved_since_s: Start of the starvation of each starved run.
         advice: The advice received from the external adviser.
-        progress_marks: The latest progress of each run.
+        index: The usage of the workers, and the best ones by kind of task.
+        cached_ranks: The ranks of waiting steps.
     """
 
     settings: RunSettings
@@ -130,7 +141,7 @@
     leading_since_s: float
     views: dict[str, WorkerView] = {}
     orders_number: int = 0
-    proposed_ends: set[RunKey] = set()
+    proposed_ends: dict[RunKey, str] = {}
     proposed_starts: dict[str, RunStart] = {}
     stop_reasons: dict[RunKey, str] = {}
     needs_pass: bool = True
@@ -140,9 +151,9 @@
     interference: InterferenceModel = msgspec.field(
         default_factory=InterferenceModel
     )
-    starved_since_s: dict[RunKey, float] = {}
     advice: AdviceState = msgspec.field(default_factory=AdviceState)
-    progress_marks: dict[RunKey, ProgressMark] = {}
+    index: CandidateIndex = msgspec.field(default_factory=CandidateIndex)
+    cached_ranks: dict[StepKey, CachedRank] = {}
 
 
 RunEffect = Send | ProposeAsLeader
@@ -183,11 +194,17 @@
         )
         leadership.views[guard] = view
     _update_view(view, report, now_s)
-    _update_interference_model(leadership, tables, view, now_s)
-    _stop_stalled_runs(leadership, tables, view, now_s)
+    mark_changed(leadership.index, guard)
+    placed_runs = get_placed_runs(leadership.index, tables, guard)
+    _update_interference_model(leadership, placed_runs, view, now_s)
+    _stop_stalled_runs(leadership, placed_runs, view, now_s)
+    update_starved_runs(placed_runs, view, now_s)
     leadership.needs_pass = True
-    leadership.guards_to_update[guard] = None
-    return _propose_ends(leadership, tables, ends, now_s)
+    effects = _propose_ends(leadership, tables, ends, now_s)
+    if not effects:
+        # Orders follow anyway once the proposed ends are recorded.
+        leadership.guards_to_update[guard] = None
+    return effects
 
 
 def _is_outdated(view: WorkerView, report: RunReport) -> bool:
@@ -235,26 +252,24 @@
 
 def _update_interference_model(
     leadership: RunLeadership,
-    tables: WorkflowTables,
+    placed_runs: PlacedRuns,
     view: WorkerView,
     now_s: float,
 ) -> None:
     if now_s - view.observed_at_s < OBSERVATION_INTERVAL_S:
         return
     view.observed_at_s = now_s
-    for observation in list_observations(tables, view):
+    for observation in list_observations(placed_runs, view):
         record_observation(leadership.interference, observation, now_s)
 
 
 def _stop_stalled_runs(
     leadership: RunLeadership,
-    tables: WorkflowTables,
+    placed_runs: PlacedRuns,
     view: WorkerView,
     now_s: float,
 ) -> None:
-    stalled = detect_stalled_runs(
-        leadership.progress_marks, tables, view, now_s
-    )
+    stalled = detect_stalled_runs(placed_runs, view, now_s)
     if not stalled or not _has_schedulable_alternative(leadership, view, now_s):
         return
     for key in stalled:
@@ -284,19 +299,36 @@
         not report.is_restarted or report.term == leadership.term
     )
     ends = []
-    for key, _task, record in list_placed_runs(tables, guard):
-        is_earlier = record.lifetime < report.facts.lifetime
-        if is_earlier and not knows_earlier_runs:
+    placed_runs = get_placed_runs(leadership.index, tables, guard)
+    for placed in _list_possibly_ended(placed_runs, report):
+        lifetime = placed.record.lifetime
+        if lifetime < report.facts.lifetime and not knows_earlier_runs:
             continue
-        end = detector.find(key, record.lifetime)
+        end = detector.find(placed.key, lifetime)
         if end is not None:
             checkpoint = end.checkpoint or _get_latest_checkpoint(
-                leadership, guard, key
+                leadership, guard, placed.key
             )
             ends.append(msgspec.structs.replace(end, checkpoint=checkpoint))
     return ends
 
 
+def _list_possibly_ended(
+    placed_runs: PlacedRuns, report: RunReport
+) -> list[PlacedRun]:
+    """List the runs of which a report may say that they have ended."""
+    if report.is_gone:
+        return list(placed_runs.values())
+    lifetime = report.facts.lifetime
+    named = {ended.key.task_id for ended in report.ended}
+    named.update(closed.key.task_id for closed in report.closed)
+    return [
+        placed
+        for task_id, placed in placed_runs.items()
+        if task_id in named or placed.record.lifetime != lifetime
+    ]
+
+
 def _get_latest_checkpoint(
     leadership: RunLeadership, guard: str, key: RunKey
 ) -> str:
@@ -315,7 +347,7 @@
     for end in ends:
         key = RunKey(end.task_id, end.run)
         if key not in leadership.proposed_ends:
-            leadership.proposed_ends.add(key)
+            leadership.proposed_ends[key] = _get_guard(tables, end.task_id)
             new_ends.append(end)
             _update_from_end(leadership, tables, end, now_s)
     return (
@@ -323,6 +355,13 @@
     )
 
 
+def _get_guard(tables: WorkflowTables, task_id: str) -> str:
+    """Return the guard of the recorded run of a task, empty if it has none."""
+    task = parse_task_id(task_id)
+    record = get_task(tables, task) if task else None
+    return record.guard if record else ''
+
+
 def _update_from_end(
     leadership: RunLeadership,
     tables: WorkflowTables,
@@ -360,29 +399,51 @@
     """
     leadership.needs_pass = True
     match operation:
-        case CancelWorkflow():
-            leadership.guards_to_update.update(dict.fromkeys(leadership.views))
+        case CancelWorkflow(workflow_id=workflow_id):
+            _update_guards_of_workflow(leadership, tables, workflow_id)
         case RecordRuns():
-            _handle_recorded_ends(leadership, operation)
+            _handle_recorded_ends(leadership, tables, operation)
             for start in operation.starts:
                 leadership.proposed_starts.pop(start.task_id, None)
+                record_start(leadership.index, tables, start)
                 leadership.guards_to_update[start.guard] = None
 
 
 def _handle_recorded_ends(
-    leadership: RunLeadership, operation: RecordRuns
+    leadership: RunLeadership, tables: WorkflowTables, operation: RecordRuns
 ) -> None:
-    keys = {RunKey(end.task_id, end.run) for end in operation.ends}
-    for key in keys:
-        leadership.proposed_ends.discard(key)
+    for end in operation.ends:
+        key = RunKey(end.task_id, end.run)
         leadership.stop_reasons.pop(key, None)
-    if any(end.kind is RunEndKind.failed for end in operation.ends):
-        # The failure may fail the workflow, whose other runs must then stop.
-        leadership.guards_to_update.update(dict.fromkeys(leadership.views))
-        return
-    for guard, view in leadership.views.items():
-        if any(ended.key in keys for ended in view.ended):
+        guard = leadership.proposed_ends.pop(key, '')
+        if guard:
+            record_end(leadership.index, tables, guard, end.task_id)
             leadership.guards_to_update[guard] = None
+        else:
+            # An earlier leader proposed it, and this one knows no guard of it.
+            mark_all_changed(leadership.index)
+            leadership.guards_to_update.update(dict.fromkeys(leadership.views))
+        if end.kind is RunEndKind.failed:
+            # The failure may fail the workflow, whose other runs then stop.
+            task = parse_task_id(end.task_id)
+            if task is not None:
+                _update_guards_of_workflow(
+                    leadership, tables, task.step_key.workflow_id
+                )
+
+
+def _update_guards_of_workflow(
+    leadership: RunLeadership, tables: WorkflowTables, workflow_id: str
+) -> None:
+    """Send new orders to the guards that run tasks of a workflow."""
+    workflow = tables.workflows.get(workflow_id)
+    if workflow is None:
+        return
+    for steps in workflow.occurrences.values():
+        for step in steps:
+            leadership.guards_to_update.update(
+                (task.guard, None) for task in step.tasks if task.guard
+            )
 
 
 def handle_run_proposal_failure(
@@ -396,9 +457,10 @@
         operation: The operation that was not proposed.
     """
     for end in operation.ends:
-        leadership.proposed_ends.discard(RunKey(end.task_id, end.run))
+        leadership.proposed_ends.pop(RunKey(end.task_id, end.run), None)
     for start in operation.starts:
         leadership.proposed_starts.pop(start.task_id, None)
+        remove_proposed_start(leadership.index, start.guard, start.task_id)
 
 
 def handle_run_tick(
@@ -428,6 +490,7 @@
         fit_weights(leadership.interference)
         prune_means(leadership.interference, now_s)
         prune_inactive_steps(leadership.advice, tables)
+        prune_index(leadership.index, tables, now_s)
         _migrate_starved_runs(leadership, tables, now_s)
         leadership.needs_pass = leadership.needs_pass or bool(
             tables.index.waiting
@@ -454,7 +517,8 @@
     for guard in tables.index.placed:
         if now_s <= _get_lease_end_bound(leadership, guard):
             continue
-        for key, _task, _record in list_placed_runs(tables, guard):
+        for placed in get_placed_runs(leadership.index, tables, guard).values():
+            key = placed.key
             checkpoint = _get_latest_checkpoint(leadership, guard, key)
             ends.append(
                 RunEnd(*get_task_and_run(key), RunEndKind.lost, checkpoint)
@@ -507,7 +571,8 @@
     for guard, view in leadership.views.items():
         if not view.facts.is_draining:
             continue
-        for key in list_runs_to_evacuate(tables, view, now_s):
+        placed_runs = get_placed_runs(leadership.index, tables, guard)
+        for key in list_runs_to_evacuate(placed_runs, view, now_s):
             if key not in leadership.stop_reasons:
                 leadership.stop_reasons[key] = 'its worker is draining'
                 leadership.guards_to_update[guard] = None
@@ -519,16 +584,11 @@
     now_s: float,
 ) -> None:
     scheduling_pass = _create_pass(leadership, tables, now_s)
-    for key in choose_runs_to_migrate(
-        leadership.starved_since_s, scheduling_pass
-    ):
+    for key in choose_runs_to_migrate(scheduling_pass):
         if key in leadership.stop_reasons:
             continue
         leadership.stop_reasons[key] = 'starved beside serving tasks'
-        task = parse_task_id(key.task_id)
-        record = get_task(tables, task) if task else None
-        if record is not None:
-            leadership.guards_to_update[record.guard] = None
+        leadership.guards_to_update[_get_guard(tables, key.task_id)] = None
 
 
 def _create_pass(
@@ -536,19 +596,13 @@
     tables: WorkflowTables,
     now_s: float,
 ) -> SchedulingPass:
-    usage_by_guard = compute_usage_by_guard(tables, leadership.views)
-    for start in leadership.proposed_starts.values():
-        key = parse_task_id(start.task_id)
-        if key is None or start.guard not in usage_by_guard:
-            continue
-        step = get_step(tables, key.step_key)
-        add_task_usage(usage_by_guard[start.guard], key.step_key, step)
-    return create_scheduling_pass(
+    return SchedulingPass(
         tables,
         leadership.views,
-        usage_by_guard,
-        set(leadership.proposed_starts),
-        (leadership.interference, leadership.advice),
+        leadership.index,
+        leadership.proposed_starts,
+        leadership.interference,
+        leadership.advice,
         now_s,
     )
 
@@ -562,7 +616,8 @@
     if not tables.index.waiting:
         return []
     scheduling_pass = _create_pass(leadership, tables, now_s)
-    starts = place_waiting(scheduling_pass, now_ms)
+    ranks = rank_waiting_steps(leadership.cached_ranks, tables, now_ms)
+    starts = place_waiting(scheduling_pass, ranks)
     if not starts:
         return []
     for start in starts:
@@ -590,4 +645,6 @@
         leadership.advice,
         now_s,
     )
-    return Send(view.guard, create_run_orders(context, tables, view))
+    placed_runs = get_placed_runs(leadership.index, tables, view.guard)
+    orders = create_run_orders(context, tables, view, placed_runs)
+    return Send(view.guard, orders)
--- a/cumintack/coordination/runs/run_orders.py
+++ b/cumintack/coordination/runs/run_orders.py
@@ -9,8 +9,9 @@
 from cumintack.coordination.runs.colocation import list_learned_weights
 from cumintack.coordination.runs.interference_model import InterferenceModel
 from cumintack.coordination.runs.worker_views import (
+    PlacedRun,
+    PlacedRuns,
     WorkerView,
-    list_placed_runs,
 )
 from cumintack.protocol.run_messages import (
     EndedRun,
@@ -20,8 +21,6 @@
     RunOrders,
 )
 from cumintack.state.workflows import (
-    TaskKey,
-    TaskRecord,
     WorkflowStatus,
     WorkflowTables,
     get_task,
@@ -56,6 +55,7 @@
     context: OrderContext,
     tables: WorkflowTables,
     view: WorkerView,
+    placed_runs: PlacedRuns,
 ) -> RunOrders:
     """Create the orders for a worker.
 
@@ -63,6 +63,7 @@
         context: State of the leader.
         tables: The replicated workflow tables.
         view: The worker as last reported.
+        placed_runs: The recorded runs on it.
 
     Returns:
         The orders, which answer the latest report of the worker.
@@ -70,18 +71,21 @@
     wanted = []
     stops = []
     earlier = []
-    for key, task, record in list_placed_runs(tables, view.guard):
-        if record.lifetime != view.facts.lifetime:
+    for placed in placed_runs.values():
+        key = placed.key
+        if placed.record.lifetime != view.facts.lifetime:
             earlier.append(key)
             continue
-        workflow = tables.workflows[task.step_key.workflow_id]
-        is_active = workflow.status is WorkflowStatus.active
+        workflow = tables.workflows.get(placed.task.step_key.workflow_id)
+        is_active = (
+            workflow is not None and workflow.status is WorkflowStatus.active
+        )
         if not is_active or key in context.stop_reasons:
             stops.append(key)
         elif key in view.runs_with_details:
             wanted.append(RunOrder(key))
         else:
-            details = _create_details(context, tables, task, record)
+            details = _create_details(context, tables, placed)
             wanted.append(RunOrder(key, details))
     return RunOrders(
         context.term,
@@ -92,7 +96,7 @@
         _get_settled_number(tables, view),
         tuple(wanted),
         tuple(stops),
-        list_learned_weights(tables, view, context.interference),
+        list_learned_weights(placed_runs, context.interference),
         tuple(earlier) if view.is_guard_restarted else (),
     )
 
@@ -100,20 +104,19 @@
 def _create_details(
     context: OrderContext,
     tables: WorkflowTables,
-    task: TaskKey,
-    record: TaskRecord,
+    placed: PlacedRun,
 ) -> RunDetails:
-    workflow = tables.workflows[task.step_key.workflow_id]
-    step = workflow.spec.steps[task.step_key.step]
+    workflow = tables.workflows[placed.task.step_key.workflow_id]
+    step = placed.step
     ticket = find_valid_ticket(
         context.advice,
-        task.step_key,
-        record.lifetime,
+        placed.task.step_key,
+        placed.record.lifetime,
         context.now_s,
     )
     return RunDetails(
         workflow.spec.program,
-        record.checkpoint if step.is_checkpointed else '',
+        placed.record.checkpoint if step.is_checkpointed else '',
         ticket or '',
         step.is_best_effort,
         step.target_ms,
--- a/cumintack/coordination/runs/stall_detection.py
+++ b/cumintack/coordination/runs/stall_detection.py
@@ -6,14 +6,13 @@
 and gang tasks are not taken as evidence, since they may rightly pause.
 """
 
-import msgspec
-
 from cumintack.coordination.runs.worker_views import (
+    PlacedRuns,
+    ProgressMark,
     WorkerView,
-    list_runs_with_steps,
 )
 from cumintack.protocol.run_messages import RunKey
-from cumintack.state.workflows import StepSpec, WorkflowTables
+from cumintack.state.workflows import StepSpec
 
 # Seconds without any progress after which a worker counts as stalled: two
 # reports that were due, and a restore from a checkpoint. A task of one minute
@@ -29,25 +28,15 @@
 MAX_LOST_PERCENT = 50
 
 
-class ProgressMark(msgspec.Struct):
-    """Progress of a run when it last advanced."""
-
-    guard: str
-    percent: float
-    at_s: float
-
-
 def detect_stalled_runs(
-    progress_marks: dict[RunKey, ProgressMark],
-    tables: WorkflowTables,
+    placed_runs: PlacedRuns,
     view: WorkerView,
     now_s: float,
 ) -> list[RunKey]:
     """Update the progress of the runs on a worker after a report.
 
     Args:
-        progress_marks: The latest progress of each run, changed in place.
-        tables: The replicated workflow tables.
+        placed_runs: The recorded runs on the worker.
         view: The worker as last reported, excluded if it is stalled.
         now_s: Current time of the monotonic clock, in seconds.
 
@@ -55,18 +44,19 @@
         The runs to restart elsewhere; empty unless the worker is stalled.
     """
     indicative = {
-        key: step
-        for key, step in list_runs_with_steps(tables, view)
-        if key in view.running and _is_indicative(step)
+        placed.key: placed.step
+        for placed in placed_runs.values()
+        if placed.key in view.running and _is_indicative(placed.step)
     }
-    _prune_absent_runs(progress_marks, view, indicative)
+    progress_marks = view.progress_marks
+    for tracked_key in list(progress_marks):
+        if tracked_key not in indicative:
+            progress_marks.pop(tracked_key)
     for indicative_key in indicative:
         percent = view.running[indicative_key].percent
         mark = progress_marks.get(indicative_key)
         if mark is None or mark.percent != percent:
-            progress_marks[indicative_key] = ProgressMark(
-                view.guard, percent, now_s
-            )
+            progress_marks[indicative_key] = ProgressMark(percent, now_s)
     last_progress_at_s = max(
         (progress_marks[run].at_s for run in indicative), default=now_s
     )
@@ -83,13 +73,3 @@
 def _is_indicative(step: StepSpec) -> bool:
     is_exempt = step.is_long_running or step.is_best_effort or step.is_gang
     return not is_exempt and step.estimate_ms < LONG_ESTIMATE_MS
-
-
-def _prune_absent_runs(
-    progress_marks: dict[RunKey, ProgressMark],
-    view: WorkerView,
-    indicative: dict[RunKey, StepSpec],
-) -> None:
-    for key, mark in list(progress_marks.items()):
-        if mark.guard == view.guard and key not in indicative:
-            progress_marks.pop(key)
--- a/cumintack/coordination/runs/stall_detection_test.py
+++ b/cumintack/coordination/runs/stall_detection_test.py
@@ -4,10 +4,13 @@
 
 from cumintack.coordination.runs.stall_detection import (
     STALL_TIMEOUT_S,
-    ProgressMark,
     detect_stalled_runs,
 )
-from cumintack.coordination.runs.worker_views import WorkerView, is_schedulable
+from cumintack.coordination.runs.worker_views import (
+    WorkerView,
+    is_schedulable,
+    list_placed_runs,
+)
 from cumintack.protocol.run_messages import RunKey, RunningRun, WorkerInfo
 from cumintack.state._workflow_transitions import apply_workflow_operation
 from cumintack.state.queues import Pool, Queue, QueueConfiguration
@@ -50,7 +53,6 @@
         worker_info = WorkerInfo('worker', LIFETIME, 'pool', 'yard', NEED, ())
         self.view = WorkerView(GUARD, worker_info, 0, 0, is_usable=True)
         self.keys = [RunKey(task, 1) for task in tasks]
-        self.progress_marks: dict[RunKey, ProgressMark] = {}
         self.now_s = 0.0
 
     def report(self, *percents: float) -> list[RunKey]:
@@ -62,8 +64,7 @@
             for key, percent in zip(self.keys, percents, strict=True)
         }
         return detect_stalled_runs(
-            self.progress_marks,
-            self.tables,
+            list_placed_runs(self.tables, GUARD),
             self.view,
             self.now_s,
         )
--- a/cumintack/coordination/runs/starvation.py
+++ b/cumintack/coordination/runs/starvation.py
@@ -6,12 +6,21 @@
 most of its full speed.
 """
 
+from cumintack.coordination.runs.candidate_index import (
+    create_task_kind,
+    get_placed_runs,
+    get_usage,
+)
 from cumintack.coordination.runs.placement import (
-    CandidateWorker,
     SchedulingPass,
     estimate_speed,
+    find_candidate,
+)
+from cumintack.coordination.runs.worker_views import (
+    PlacedRun,
+    PlacedRuns,
+    WorkerView,
 )
-from cumintack.coordination.runs.worker_views import list_runs_with_steps
 from cumintack.protocol.run_messages import RunKey, RunningRun
 from cumintack.state.workflows import StepSpec
 
@@ -29,48 +38,56 @@
 MAX_MIGRATIONS = 4
 
 
-def choose_runs_to_migrate(
-    starved_since_s: dict[RunKey, float],
-    scheduling_pass: SchedulingPass,
-) -> list[RunKey]:
-    """Update which runs are starved, and choose those to migrate.
+def update_starved_runs(
+    placed_runs: PlacedRuns, view: WorkerView, now_s: float
+) -> None:
+    """Update which runs of a worker are starved, after a report.
+
+    Args:
+        placed_runs: The recorded runs on the worker.
+        view: The worker as last reported, changed in place.
+        now_s: Current time of the monotonic clock, in seconds.
+    """
+    view.starved_since_s = {
+        placed.key: view.starved_since_s.get(placed.key, now_s)
+        for placed in placed_runs.values()
+        if placed.key in view.running
+        and _is_starved(view.running[placed.key], placed.step)
+    }
+
+
+def choose_runs_to_migrate(scheduling_pass: SchedulingPass) -> list[RunKey]:
+    """Choose starved runs to migrate.
 
     Args:
-        starved_since_s: Start of the starvation of each starved run, changed
-            in place.
-        scheduling_pass: A scheduling pass over the schedulable workers.
+        scheduling_pass: A scheduling pass.
 
     Returns:
         The runs to stop so that they are placed again.
     """
-    starved = {
-        key: (candidate, step)
-        for key, candidate, step in _list_starved(scheduling_pass)
-    }
-    for tracked_key in list(starved_since_s):
-        if tracked_key not in starved:
-            starved_since_s.pop(tracked_key)
     migrated: list[RunKey] = []
-    for key, (candidate, step) in starved.items():
-        starved_at_s = starved_since_s.setdefault(key, scheduling_pass.now_s)
-        is_long = scheduling_pass.now_s - starved_at_s >= STARVATION_TIMEOUT_S
-        if is_long and len(migrated) < MAX_MIGRATIONS:
-            if _has_better_candidate(scheduling_pass, candidate, step):
-                migrated.append(key)
+    for view in scheduling_pass.views.values():
+        for placed in _list_long_starved(scheduling_pass, view):
+            if len(migrated) >= MAX_MIGRATIONS:
+                return migrated
+            if _has_better_candidate(scheduling_pass, view, placed):
+                migrated.append(placed.key)
     return migrated
 
 
-def _list_starved(
-    scheduling_pass: SchedulingPass,
-) -> list[tuple[RunKey, CandidateWorker, StepSpec]]:
+def _list_long_starved(
+    scheduling_pass: SchedulingPass, view: WorkerView
+) -> list[PlacedRun]:
+    if not view.starved_since_s:
+        return []
+    latest_start_s = scheduling_pass.now_s - STARVATION_TIMEOUT_S
+    placed_runs = get_placed_runs(
+        scheduling_pass.index, scheduling_pass.tables, view.guard
+    )
     return [
-        (key, candidate, step)
-        for candidate in scheduling_pass.candidates.values()
-        for key, step in list_runs_with_steps(
-            scheduling_pass.tables, candidate.view
-        )
-        if key in candidate.view.running
-        and _is_starved(candidate.view.running[key], step)
+        placed
+        for placed in placed_runs.values()
+        if view.starved_since_s.get(placed.key, float('inf')) <= latest_start_s
     ]
 
 
@@ -83,11 +100,14 @@
 
 
 def _has_better_candidate(
-    scheduling_pass: SchedulingPass, candidate: CandidateWorker, step: StepSpec
+    scheduling_pass: SchedulingPass, view: WorkerView, placed: PlacedRun
 ) -> bool:
-    return any(
-        other.view.facts.pool == candidate.view.facts.pool
-        and estimate_speed(scheduling_pass, other, step) >= MIN_TARGET_SPEED
-        for other in scheduling_pass.candidates.values()
-        if other is not candidate
+    kind = create_task_kind(view.facts.pool, placed.task.step_key, placed.step)
+    best = find_candidate(scheduling_pass, kind)
+    if best is None or best is view:
+        return False
+    usage = get_usage(scheduling_pass.index, scheduling_pass.tables, best)
+    speed = estimate_speed(
+        scheduling_pass.interference, best, usage, placed.step
     )
+    return speed >= MIN_TARGET_SPEED
--- a/cumintack/coordination/runs/step_ranking.py
+++ b/cumintack/coordination/runs/step_ranking.py
@@ -16,6 +16,10 @@
 MS_PER_S = 1000
 # Multiple of its objective after which a workflow has no value left.
 LATE_FACTOR = 3
+# Cached ranks, as a multiple of the waiting steps and in addition to it, above
+# which those of other steps are removed.
+MAX_CACHE_FACTOR = 2
+MIN_CACHE_SIZE = 64
 
 
 class StepRank(msgspec.Struct, frozen=True, order=True):
@@ -84,6 +88,56 @@
     return schedule.first_at_ms + occurrence * schedule.interval_ms
 
 
+class CachedRank(msgspec.Struct, frozen=True):
+    """Rank of a waiting step, valid until a time in ms since 1970."""
+
+    rank: StepRank
+    changes_at_ms: float
+
+
+def rank_waiting_steps(
+    cache: dict[StepKey, CachedRank],
+    tables: WorkflowTables,
+    now_ms: float,
+) -> list[StepRank]:
+    """Rank all waiting steps.
+
+    Args:
+        cache: Ranks computed earlier, changed in place.
+        tables: The replicated workflow tables.
+        now_ms: Current wall-clock time, in ms.
+
+    Returns:
+        The ranks, lowest first.
+    """
+    ranks = []
+    for key in tables.index.waiting:
+        cached = cache.get(key)
+        if cached is None or now_ms > cached.changes_at_ms:
+            cached = _compute_cached_rank(tables, key, now_ms)
+            cache[key] = cached
+        ranks.append(cached.rank)
+    if len(cache) > MAX_CACHE_FACTOR * len(ranks) + MIN_CACHE_SIZE:
+        for cached_key in list(cache):
+            if cached_key not in tables.index.waiting:
+                cache.pop(cached_key)
+    ranks.sort()
+    return ranks
+
+
+def _compute_cached_rank(
+    tables: WorkflowTables, key: StepKey, now_ms: float
+) -> CachedRank:
+    workflow = tables.workflows[key.workflow_id]
+    objective_ms = compute_objective_ms(workflow)
+    start_ms = get_objective_start_ms(workflow, key.occurrence)
+    changes_at_ms = float('inf')
+    for factor in (LATE_FACTOR, 1):
+        if now_ms <= start_ms + factor * objective_ms:
+            changes_at_ms = start_ms + factor * objective_ms
+    return CachedRank(rank_step(tables, key, now_ms), changes_at_ms)
+
+
 def rank_step(
     tables: WorkflowTables,
     key: StepKey,
--- a/cumintack/coordination/runs/worker_views.py
+++ b/cumintack/coordination/runs/worker_views.py
@@ -37,6 +37,33 @@
 RACK_LABEL_PREFIX = 'r'
 
 
+class PlacedRun(msgspec.Struct, frozen=True):
+    """A recorded run on a worker.
+
+    Attributes:
+        key: The run.
+        task: Its task.
+        record: The record of the task.
+        step: The specification of its step.
+    """
+
+    key: RunKey
+    task: TaskKey
+    record: TaskRecord
+    step: StepSpec
+
+
+# The recorded runs on one worker, by task identifier.
+PlacedRuns = dict[str, PlacedRun]
+
+
+class ProgressMark(msgspec.Struct):
+    """Progress of a run when it last advanced."""
+
+    percent: float
+    at_s: float
+
+
 class WorkerView(msgspec.Struct):
     """A worker as last reported by its guard.
 
@@ -60,6 +87,8 @@
         trial_placed_at_s: When a task was last placed on it.
         observed_at_s: When its latencies were last added to the interference
             model.
+        progress_marks: The latest progress of each run.
+        starved_since_s: Start of the starvation of each starved run.
     """
 
     guard: str
@@ -78,6 +107,8 @@
     failures: list[float] = []
     trial_placed_at_s: float = float('-inf')
     observed_at_s: float = float('-inf')
+    progress_marks: dict[RunKey, ProgressMark] = {}
+    starved_since_s: dict[RunKey, float] = {}
 
 
 class WorkerUsage(msgspec.Struct):
@@ -162,67 +193,59 @@
     usage.task_count_by_step[key] = usage.task_count_by_step.get(key, 0) + 1
 
 
-def list_placed_runs(
-    tables: WorkflowTables,
-    guard: str,
-) -> list[tuple[RunKey, TaskKey, TaskRecord]]:
-    """List the recorded runs on the worker of a guard with their tasks.
+def list_placed_runs(tables: WorkflowTables, guard: str) -> PlacedRuns:
+    """List the recorded runs on the worker of a guard.
 
     Args:
         tables: The replicated workflow tables.
         guard: The name of the guard.
 
     Returns:
-        Each run with its task and the record of the task.
+        The runs by task identifier.
     """
-    placed = []
-    for task_id, key in tables.index.placed.get(guard, {}).items():
-        record = get_task(tables, key)
-        if record is not None:
-            placed.append((RunKey(task_id, record.run), key, record))
-    return placed
+    placed_runs = {}
+    for task_id, task in tables.index.placed.get(guard, {}).items():
+        placed = create_placed_run(tables, task_id, task)
+        if placed is not None:
+            placed_runs[task_id] = placed
+    return placed_runs
 
 
-def list_runs_with_steps(
-    tables: WorkflowTables,
-    view: WorkerView,
-) -> list[tuple[RunKey, StepSpec]]:
-    """List the recorded runs on a worker with their steps.
+def create_placed_run(
+    tables: WorkflowTables, task_id: str, task: TaskKey
+) -> PlacedRun | None:
+    """Create the description of the recorded run of a task.
 
     Args:
         tables: The replicated workflow tables.
-        view: The worker as last reported.
+        task_id: The identifier of the task.
+        task: The task.
 
     Returns:
-        Each run with the specification of its step.
+        The run, None if there is no such task.
     """
-    return [
-        (key, get_step(tables, task.step_key))
-        for key, task, _record in list_placed_runs(tables, view.guard)
-    ]
+    record = get_task(tables, task)
+    if record is None:
+        return None
+    step = get_step(tables, task.step_key)
+    return PlacedRun(RunKey(task_id, record.run), task, record, step)
 
 
-def compute_usage_by_guard(
-    tables: WorkflowTables,
-    views: dict[str, WorkerView],
-) -> dict[str, WorkerUsage]:
-    """Compute the usage of each worker by the recorded runs.
+def compute_usage(view: WorkerView, placed_runs: PlacedRuns) -> WorkerUsage:
+    """Compute the usage of a worker by its recorded runs.
 
     Args:
-        tables: The replicated workflow tables.
-        views: The workers, by name of their guard.
+        view: The worker as last reported.
+        placed_runs: The recorded runs on it.
 
     Returns:
-        The usage of each worker, by name of its guard.
+        Its usage.
     """
-    usage_by_guard: dict[str, WorkerUsage] = {}
-    for guard, view in views.items():
-        usage = WorkerUsage()
-        for key, task, _record in list_placed_runs(tables, guard):
-            step = get_step(tables, task.step_key)
-            add_task_usage(usage, task.step_key, step, view.running.get(key))
-        usage_by_guard[guard] = usage
-    return usage_by_guard
+    usage = WorkerUsage()
+    for placed in placed_runs.values():
+        run = view.running.get(placed.key)
+        add_task_usage(usage, placed.task.step_key, placed.step, run)
+    return usage
 
 
 def compute_free_resources(view: WorkerView, usage: WorkerUsage) -> Resources:
