--- a/cumintack/coordination/runs/placement.py
+++ b/cumintack/coordination/runs/placement.py
@@ -24,12 +24,8 @@
     remove_proposed_start,
 )
 from cumintack.coordination.runs.failure_tracking import is_on_probation
-from cumintack.coordination.runs.interference_model import (
-    MILLI_PER_CORE,
-    InterferenceModel,
-    get_weight,
-)
-from cumintack.coordination.runs.pacing import MIN_INTERFERENCE, TARGET_MARGIN
+from cumintack.coordination.runs.interference_model import InterferenceModel
+from cumintack.coordination.runs.speed_estimate import estimate_speed
 from cumintack.coordination.runs.step_ranking import StepRank
 from cumintack.coordination.runs.worker_views import (
     WorkerUsage,
@@ -332,38 +328,6 @@
     return ticket is not None
 
 
-def estimate_speed(
-    interference: InterferenceModel,
-    view: WorkerView,
-    usage: WorkerUsage,
-    step: StepSpec,
-) -> float:
-    """Estimate the share of its full speed that a best-effort task would get.
-
-    Args:
-        interference: The interference model of pairs of images.
-        view: The worker as last reported.
-        usage: The usage of the worker.
-        step: The specification of the step.
-
-    Returns:
-        1 at full speed, 0 or less if it could not run at all.
-    """
-    cores = step.need.cores_milli / MILLI_PER_CORE
-    unused = compute_unused_millicores(view, usage) / MILLI_PER_CORE
-    speed = min(1, unused / cores) if cores else 1
-    for image, margin in usage.latency_margins:
-        disturbance = get_weight(interference, image, step.image) * cores
-        if disturbance < MIN_INTERFERENCE:
-            continue
-        available = margin - TARGET_MARGIN
-        for other_image, other_cores in usage.unmeasured_cores.items():
-            weight = get_weight(interference, image, other_image)
-            available -= weight * other_cores
-        speed = min(speed, available / disturbance)
-    return speed
-
-
 # Weights of the criteria for a worker; each outweighs all smaller ones.
 WEIGHT_DATA_RACK = 1e9
 WEIGHT_SHARED = 2e7
--- a/cumintack/coordination/runs/starvation.py
+++ b/cumintack/coordination/runs/starvation.py
@@ -13,9 +13,9 @@
 )
 from cumintack.coordination.runs.placement import (
     SchedulingPass,
-    estimate_speed,
     find_candidate,
 )
+from cumintack.coordination.runs.speed_estimate import estimate_speed
 from cumintack.coordination.runs.worker_views import (
     PlacedRun,
     PlacedRuns,
