Summarise a workflow in cumintack explain

Cause: raw lines of a workflow of 37 runs can't be read by a person. The history is built from the same log lines.

--- a/cumintack/cli/main.py
+++ b/cumintack/cli/main.py
@@ -4,17 +4,21 @@
 import sys
 
 import click
+import msgspec
 from result import Err, Ok
 
 from cumintack.cli.api import Api, ApiError, AppliedCommand
+from cumintack.cli.history_rendering import encode_history, render_history
 from cumintack.cli.reference import create_reference
 from cumintack.cli.rendering import render_rows, render_timeline
 from cumintack.coordination.explanation import (
+    Explanation,
     explain,
     render_explanation,
 )
 from cumintack.coordination.querying import QueryResult
 from cumintack.coordination.timeline import merge_events
+from cumintack.coordination.workflow_history import build_history
 from cumintack.daemon.settings import load_settings
 from cumintack.transport.event_file import read_events
 from cumintack.transport.keys import create_key_files
@@ -128,13 +132,20 @@
 @main.command('explain')
 @click.argument('identifier')
 @click.argument('logs', nargs=-1, required=True, type=PATH)
+@click.option('--raw', 'is_raw', is_flag=True, help='Print the log lines.')
+@click.option('--json', 'is_json', is_flag=True, help='Print JSON.')
 def explain_identifier(
     identifier: str,
     logs: tuple[pathlib.Path, ...],
+    *,
+    is_raw: bool,
+    is_json: bool,
 ) -> None:
     """Report from log files what happened to a workflow, a task or a run.
 
-    Each file is the log of one process and is named after that process.
+    Each file is the log of one process and is named after that process. A
+    workflow that was accepted is summarised by step; for a task, a run or a
+    request that was refused the log lines are printed.
     """
     try:
         texts = {
@@ -146,12 +157,28 @@
             ApiError(str(error.strerror), 'explain', str(error.filename))
         )
     found = explain(texts, identifier)
-    for line in render_explanation(found, identifier):
+    for line in _render_found(
+        found, identifier, is_raw=is_raw, is_json=is_json
+    ):
         click.echo(line)
     if not found.lines:
         sys.exit(EXIT_FAILED)
 
 
+def _render_found(
+    found: Explanation, identifier: str, *, is_raw: bool, is_json: bool
+) -> list[str]:
+    history = None if is_raw else build_history(found.lines)
+    is_workflow = history is not None and history.workflow_id == identifier
+    if history is not None and is_workflow and is_json:
+        return [encode_history(history)]
+    if history is not None and is_workflow:
+        return render_history(history, found.lines)
+    if is_json:
+        return [msgspec.json.encode(found).decode()]
+    return render_explanation(found, identifier)
+
+
 @main.group()
 def config() -> None:
     """Show and change the configuration."""
