Estimate unobserved image pairs from the other pairs of the image

Cause: a pair with few observations was pulled to a weight of zero, and one standard error was subtracted besides, so that the first runs of a strong image beside a new latency-critical image were placed as if it were harmless. Change: the prior of a pair is the weight of the image over all latency-critical images; before any observation 0.06, about the mean, instead of 0.03; half a standard error is subtracted. Tests: a new pair takes over what is known of the image; one observation does not make a pair harmless.

--- a/cumintack/coordination/runs/interference_model.py
+++ b/cumintack/coordination/runs/interference_model.py
@@ -9,6 +9,11 @@
 the task is at its target. The load also varies by itself, more slowly than
 tasks start and end; the model therefore compares only deviations from the
 running mean of the last second.
+
+A best-effort image that interferes with one latency-critical image mostly
+interferes with others too. The observations of all latency-critical images
+together therefore give the prior of each pair, which counts until there are
+enough observations of the pair itself.
 """
 
 import math
@@ -17,15 +22,19 @@
 
 from cumintack.protocol.run_messages import RunKey
 
-# Weight assumed before any observation, in margin per core: a task of ten cores
-# takes a fifth of the way from no load to the target.
-PRIOR_WEIGHT = 0.03
-# Regularisation in squared cores, which pulls a weight to zero while there are
-# few observations: the variance of a margin over 0.4 s (0.06) divided by the
-# variance of the weights (0.005).
+# Weight of an image before any observation of it, in margin per core: about the
+# mean of the weights observed. A task of ten cores takes two fifths of the way
+# from no load to the target.
+PRIOR_WEIGHT = 0.06
+# Regularisation in squared cores, which pulls a weight to its prior while there
+# are few observations: the variance of a margin over 0.4 s (0.06) divided by
+# the variance of the weights (0.005).
 PRIOR_STRENGTH = 12.0
 # Standard deviation of the margin of a task in an interval of 0.4 s.
 MARGIN_NOISE = 0.25
+# Standard errors subtracted from the weight of a pair, so that noise does not
+# count as interference.
+NOISE_ALLOWANCE = 0.5
 # Sum of squared cores observed beside a latency-critical image from which a
 # pair counts as learned: one start of six cores. The standard error is then
 # 0.05 per core.
@@ -77,10 +86,17 @@
 
 
 class InterferenceModel(msgspec.Struct):
-    """Statistics by latency-critical image, and means by its runs."""
+    """Statistics of images, and means by run.
+
+    Attributes:
+        images: Statistics by latency-critical image.
+        means_by_run: Means by latency-critical run.
+        pooled: Statistics over all latency-critical images together.
+    """
 
     images: dict[str, ImageStatistics] = {}
     means_by_run: dict[RunKey, RunMeans] = {}
+    pooled: ImageStatistics = msgspec.field(default_factory=ImageStatistics)
 
 
 class Observation(msgspec.Struct, frozen=True):
@@ -130,6 +146,7 @@
     means.cores = _add_scaled(means.cores, deviations, 1, smoothing)
     statistics = model.images.setdefault(observation.image, ImageStatistics())
     _accumulate(statistics, deviations, margin_loss)
+    _accumulate(model.pooled, deviations, margin_loss)
 
 
 def _add_scaled(
@@ -183,26 +200,35 @@
     Args:
         model: The interference model, changed in place.
     """
+    _fit_image_weights(model.pooled, {}, 0)
+    noise = NOISE_ALLOWANCE * MARGIN_NOISE
     for statistics in model.images.values():
-        for _ in range(FIT_PASSES):
-            for image in statistics.loss_sums:
-                statistics.weights[image] = _fit_weight(statistics, image)
+        _fit_image_weights(statistics, model.pooled.weights, noise)
+
+
+def _fit_image_weights(
+    statistics: ImageStatistics, priors: dict[str, float], noise: float
+) -> None:
+    for _ in range(FIT_PASSES):
+        for image in statistics.loss_sums:
+            product_sum = statistics.product_sums[(image, image)]
+            prior_loss = PRIOR_STRENGTH * priors.get(image, PRIOR_WEIGHT)
+            loss = _compute_unexplained_loss(statistics, image) - (
+                noise * math.sqrt(product_sum)
+            )
+            statistics.weights[image] = max(0, loss + prior_loss) / (
+                product_sum + PRIOR_STRENGTH
+            )
 
 
-def _fit_weight(statistics: ImageStatistics, image: str) -> float:
+def _compute_unexplained_loss(statistics: ImageStatistics, image: str) -> float:
+    """Return the loss that the weights of the other images do not explain."""
     unexplained_loss = statistics.loss_sums[image]
     for other_image, weight in statistics.weights.items():
         if other_image != image:
-            unexplained_loss -= (
-                statistics.product_sums.get((image, other_image), 0) * weight
-            )
-    regularised_sum = statistics.product_sums[(image, image)] + PRIOR_STRENGTH
-    # One standard error is subtracted, so that noise does not count as
-    # interference.
-    return (
-        max(0, unexplained_loss - MARGIN_NOISE * math.sqrt(regularised_sum))
-        / regularised_sum
-    )
+            product_sum = statistics.product_sums.get((image, other_image), 0)
+            unexplained_loss -= product_sum * weight
+    return unexplained_loss
 
 
 def get_weight(
@@ -218,10 +244,11 @@
     Returns:
         The margin per core.
     """
+    prior_weight = model.pooled.weights.get(best_effort_image, PRIOR_WEIGHT)
     statistics = model.images.get(critical_image)
     if statistics is None:
-        return PRIOR_WEIGHT
-    return statistics.weights.get(best_effort_image, PRIOR_WEIGHT)
+        return prior_weight
+    return statistics.weights.get(best_effort_image, prior_weight)
 
 
 def is_learned(
--- a/cumintack/coordination/runs/interference_model_test.py
+++ b/cumintack/coordination/runs/interference_model_test.py
@@ -10,6 +10,7 @@
 import random
 
 from cumintack.coordination.runs.interference_model import (
+    PRIOR_WEIGHT,
     InterferenceModel,
     Observation,
     fit_weights,
@@ -111,3 +112,23 @@
     fit_weights(model)
     assert is_learned(model, CRITICAL_IMAGE, HEAVY)
     assert not is_learned(model, CRITICAL_IMAGE, LIGHT)
+
+
+def test_other_pair_of_an_image_gives_the_prior_of_a_new_pair() -> None:
+    """What is known of an image counts beside images that are new to it."""
+    model = _learn(1, 20)
+    heavy = get_weight(model, 'new', HEAVY)
+    assert TRUE_WEIGHT / 2 < heavy < TRUE_WEIGHT * 2
+    assert get_weight(model, 'new', LIGHT) < TRUE_WEIGHT / 2
+    assert not is_learned(model, 'new', HEAVY)
+
+
+def test_first_observation_does_not_make_a_pair_harmless() -> None:
+    """A start in a moment when the load falls by itself proves nothing."""
+    model = InterferenceModel()
+    key = RunKey('0123456789abcdef.0.0.0', 1)
+    for step, (margin, cores) in enumerate(((2.0, 0.0), (2.0, 2.0))):
+        observation = Observation(key, CRITICAL_IMAGE, margin, {HEAVY: cores})
+        record_observation(model, observation, step * OBSERVATION_INTERVAL_S)
+    fit_weights(model)
+    assert get_weight(model, CRITICAL_IMAGE, HEAVY) > PRIOR_WEIGHT / 2
