Move slow runs by their remaining time, to a reserved place

Cause: a step ends with its slowest task. A run was moved only below 0.4 of its speed, without regard to its remaining time, and several runs were moved to one place, which waiting tasks could take first. Change: migration.py replaces starvation.py: a run moves if the time left here exceeds that on the best other worker, with the cost of the move and the work lost, by 30% and one second; its place is reserved until it has stopped; no task moves twice within 4 s. Tests: migration_test.py; the stateful machine knows reserved places.

--- a/cumintack/coordination/runs/candidate_index_machine_test.py
+++ b/cumintack/coordination/runs/candidate_index_machine_test.py
@@ -227,11 +227,18 @@
             assert sorted(kept.latency_margins) == sorted(usage.latency_margins)
 
     def _list_proposed_steps(self, guard: str) -> list[StepKey]:
-        tasks = (
-            parse_task_id(start.task_id)
-            for start in self.leadership.proposed_starts.values()
+        leadership = self.leadership
+        task_ids = {
+            start.task_id
+            for start in leadership.proposed_starts.values()
             if start.guard == guard
+        }
+        task_ids.update(
+            task_id
+            for task_id, reserved in leadership.reserved_guards.items()
+            if reserved == guard
         )
+        tasks = (parse_task_id(task_id) for task_id in task_ids)
         return [task.step_key for task in tasks if task is not None]
 
     @invariant()
--- a/cumintack/coordination/runs/placement.py
+++ b/cumintack/coordination/runs/placement.py
@@ -47,6 +47,7 @@
     format_task_id,
     get_step,
     get_task,
+    parse_task_id,
 )
 
 # Starts recorded by one pass, so that one entry of the replicated log stays
@@ -70,6 +71,7 @@
         now_s: Time of the pass on the monotonic clock, in seconds.
         starts: Starts decided so far.
         exhausted_kinds: Kinds of tasks that fit nowhere any more.
+        migrated_tasks: Tasks that the pass has placed to end a migration.
     """
 
     tables: WorkflowTables
@@ -81,6 +83,7 @@
     now_s: float
     starts: list[RunStart] = []
     exhausted_kinds: set[TaskKind] = set()
+    migrated_tasks: set[TaskKey] = set()
 
 
 class TaskRequest(msgspec.Struct, frozen=True):
@@ -101,6 +104,55 @@
     needs_ticket: bool
 
 
+def place_migrated(
+    scheduling_pass: SchedulingPass, reserved_guards: dict[str, str]
+) -> None:
+    """Place the tasks whose runs have stopped in order to be migrated.
+
+    They go to their reserved places, ahead of all waiting tasks: a task that
+    was running must not wait behind those that have not started yet.
+
+    Args:
+        scheduling_pass: The current scheduling pass.
+        reserved_guards: Guards of the workers on which places are reserved, by
+            task; those of tasks that no longer run are removed.
+    """
+    tables = scheduling_pass.tables
+    for task_id, guard in list(reserved_guards.items()):
+        task = parse_task_id(task_id)
+        record = get_task(tables, task) if task else None
+        if record is not None and record.guard:
+            continue
+        reserved_guards.pop(task_id)
+        remove_proposed_start(scheduling_pass.index, guard, task_id)
+        if task is not None and _is_waiting(tables, task):
+            _place_on(scheduling_pass, scheduling_pass.views[guard], task)
+
+
+def _place_on(
+    scheduling_pass: SchedulingPass, view: WorkerView, task: TaskKey
+) -> None:
+    """Place a waiting task on a worker if it still fits there."""
+    tables = scheduling_pass.tables
+    step_key = task.step_key
+    record = get_task(tables, task)
+    kind = get_task_kind(scheduling_pass.index, tables, step_key)
+    usage = get_usage(scheduling_pass.index, tables, view)
+    if record is None or not is_schedulable(view, scheduling_pass.now_s):
+        return
+    if _rate_worker(scheduling_pass, view, usage, kind) is None:
+        return
+    step = get_step(tables, step_key)
+    request = TaskRequest(task, step, record, kind, needs_ticket=False)
+    _record_start(scheduling_pass, request, view, record.run + 1)
+    scheduling_pass.migrated_tasks.add(task)
+
+
+def _is_waiting(tables: WorkflowTables, task: TaskKey) -> bool:
+    waiting = tables.index.waiting.get(task.step_key)
+    return waiting is not None and task.index in waiting.indexes
+
+
 def place_waiting(
     scheduling_pass: SchedulingPass, ranks: list[StepRank]
 ) -> list[RunStart]:
@@ -149,6 +201,7 @@
         record = get_task(scheduling_pass.tables, task_key)
         is_proposed = (
             format_task_id(task_key) in scheduling_pass.proposed_task_ids
+            or task_key in scheduling_pass.migrated_tasks
         )
         if record is not None and not is_proposed:
             yield TaskRequest(task_key, step, record, kind, needs_ticket)
--- a/cumintack/coordination/runs/run_leadership.py
+++ b/cumintack/coordination/runs/run_leadership.py
@@ -35,8 +35,13 @@
     prune_means,
     record_observation,
 )
+from cumintack.coordination.runs.migration import (
+    choose_migrations,
+    update_progress,
+)
 from cumintack.coordination.runs.placement import (
     SchedulingPass,
+    place_migrated,
     place_waiting,
 )
 from cumintack.coordination.runs.run_ends import (
@@ -48,10 +53,6 @@
     create_run_orders,
 )
 from cumintack.coordination.runs.stall_detection import detect_stalled_runs
-from cumintack.coordination.runs.starvation import (
-    choose_runs_to_migrate,
-    update_starved_runs,
-)
 from cumintack.coordination.runs.step_ranking import (
     CachedRank,
     rank_waiting_steps,
@@ -134,6 +135,9 @@
         advice: The advice received from the external adviser.
         index: The usage of the workers, and the best ones by kind of task.
         cached_ranks: The ranks of waiting steps.
+        migrated_at_s: When each task was last migrated.
+        reserved_guards: Guards of the workers on which places are reserved,
+            by the task that is being migrated.
     """
 
     settings: RunSettings
@@ -154,6 +158,8 @@
     advice: AdviceState = msgspec.field(default_factory=AdviceState)
     index: CandidateIndex = msgspec.field(default_factory=CandidateIndex)
     cached_ranks: dict[StepKey, CachedRank] = {}
+    migrated_at_s: dict[str, float] = {}
+    reserved_guards: dict[str, str] = {}
 
 
 RunEffect = Send | ProposeAsLeader
@@ -198,7 +204,7 @@
     placed_runs = get_placed_runs(leadership.index, tables, guard)
     _update_interference_model(leadership, placed_runs, view, now_s)
     _stop_stalled_runs(leadership, placed_runs, view, now_s)
-    update_starved_runs(placed_runs, view, now_s)
+    update_progress(placed_runs, view, now_s)
     leadership.needs_pass = True
     effects = _propose_ends(leadership, tables, ends, now_s)
     if not effects:
@@ -491,7 +497,7 @@
         prune_means(leadership.interference, now_s)
         prune_inactive_steps(leadership.advice, tables)
         prune_index(leadership.index, tables, now_s)
-        _migrate_starved_runs(leadership, tables, now_s)
+        _migrate_slow_runs(leadership, tables, now_s)
         leadership.needs_pass = leadership.needs_pass or bool(
             tables.index.waiting
         )
@@ -578,16 +584,18 @@
                 leadership.guards_to_update[guard] = None
 
 
-def _migrate_starved_runs(
+def _migrate_slow_runs(
     leadership: RunLeadership,
     tables: WorkflowTables,
     now_s: float,
 ) -> None:
     scheduling_pass = _create_pass(leadership, tables, now_s)
-    for key in choose_runs_to_migrate(scheduling_pass):
-        if key in leadership.stop_reasons:
-            continue
-        leadership.stop_reasons[key] = 'starved beside serving tasks'
+    for migration in choose_migrations(
+        scheduling_pass, leadership.migrated_at_s
+    ):
+        key = migration.key
+        leadership.stop_reasons[key] = 'slower than on another worker'
+        leadership.reserved_guards[key.task_id] = migration.target
         leadership.guards_to_update[_get_guard(tables, key.task_id)] = None
 
 
@@ -613,9 +621,10 @@
     now_s: float,
     now_ms: float,
 ) -> list[RunEffect]:
-    if not tables.index.waiting:
+    if not tables.index.waiting and not leadership.reserved_guards:
         return []
     scheduling_pass = _create_pass(leadership, tables, now_s)
+    place_migrated(scheduling_pass, leadership.reserved_guards)
     ranks = rank_waiting_steps(leadership.cached_ranks, tables, now_ms)
     starts = place_waiting(scheduling_pass, ranks)
     if not starts:
--- a/cumintack/coordination/runs/worker_views.py
+++ b/cumintack/coordination/runs/worker_views.py
@@ -64,6 +64,26 @@
     at_s: float
 
 
+class RunProgress(msgspec.Struct):
+    """Progress of a best-effort run, from the reports since it was first seen.
+
+    Attributes:
+        at_s: When it was last reported.
+        first_percent: Progress in percent when it was first seen.
+        percent: Latest progress in percent.
+        work_s: Work done since it was first seen, in seconds at full speed.
+        speed: Mean share of its full speed.
+        slow_since_s: Since when it is slow, None while it is not.
+    """
+
+    at_s: float
+    first_percent: float
+    percent: float = 0
+    work_s: float = 0
+    speed: float = 1
+    slow_since_s: float | None = None
+
+
 class WorkerView(msgspec.Struct):
     """A worker as last reported by its guard.
 
@@ -88,7 +108,7 @@
         observed_at_s: When its latencies were last added to the interference
             model.
         progress_marks: The latest progress of each run.
-        starved_since_s: Start of the starvation of each starved run.
+        progress_by_run: The progress of each best-effort run.
     """
 
     guard: str
@@ -108,7 +128,7 @@
     trial_placed_at_s: float = float('-inf')
     observed_at_s: float = float('-inf')
     progress_marks: dict[RunKey, ProgressMark] = {}
-    starved_since_s: dict[RunKey, float] = {}
+    progress_by_run: dict[RunKey, RunProgress] = {}
 
 
 class WorkerUsage(msgspec.Struct):
