--- a/cumintack/coordination/runs/pacing.py
+++ b/cumintack/coordination/runs/pacing.py
@@ -20,14 +20,14 @@
 FULL_PERCENT = 100
 # Margin that pacing aims at. At 1 a task is at its target; the rest allows for
 # measurements that are rough and half a second old.
-TARGET_MARGIN = 1.55
+TARGET_MARGIN = 1.35
 # Margin of a task that reports no latency; no higher one was observed under
 # load.
 IDLE_MARGIN = 5.0
 # Margin of a task up to which the images that interfere with it are slowed.
-SLOW_DOWN_MARGIN = 1.35
+SLOW_DOWN_MARGIN = 1.18
 # Margin of a task above which these images are sped up again.
-SPEED_UP_MARGIN = 1.7
+SPEED_UP_MARGIN = 1.45
 # Most percentage points by which a pace rises in one step.
 MAX_RAISE_PERCENT = 25.0
 # Percentage points by which a pace rises in a step even if the weights allow
