--- a/cumintack/coordination/replication/_leader_test.py
+++ b/cumintack/coordination/replication/_leader_test.py
@@ -82,3 +82,13 @@
     assert replica.commit_index == 0
     _run_cycle(replica)
     assert replica.commit_index == 3
+
+
+def test_leader_that_was_paused_steps_down_before_it_acts() -> None:
+    """Another leader may have been elected while it stood still."""
+    replica = _create_leader()
+    _run_cycle(replica)
+    replica.ready.messages.clear()
+    replication.handle_tick(replica, NOW_S + 7)
+    assert replica.role is Role.follower
+    assert not replica.ready.messages
--- a/cumintack/coordination/runs/run_reconciliation_test.py
+++ b/cumintack/coordination/runs/run_reconciliation_test.py
@@ -348,3 +348,10 @@
     )
     record_worker_info(state, other, 2)
     assert state.uncertain_until_s < 0
+
+
+def test_paused_guard_starts_nothing_under_an_expired_lease() -> None:
+    """Orders received before the pause give no permission after it."""
+    state = _create_state(KEY)
+    assert not list_due_calls(state, LEASE_S + 4)
+    assert len(list_due_calls(state, 1)) == 1
