--- a/cumintack/coordination/runs/speed_estimate.py
+++ b/cumintack/coordination/runs/speed_estimate.py
@@ -24,7 +24,7 @@
 # Margin that must be left to a latency-critical task when a best-effort task
 # that interferes with it starts at full speed: above the margin that pacing
 # aims at, by what its own load takes during a run of some seconds.
-PLACEMENT_MARGIN = 1.9
+PLACEMENT_MARGIN = 1.7
 
 
 def estimate_speed(
