Never move a single member of a gang

Cause: found by reading: migration chose among all best-effort runs, and its reserved place is taken by one task alone, while the other members end. Test: test_member_of_a_gang_stays fails without the change.

--- a/cumintack/coordination/runs/migration.py
+++ b/cumintack/coordination/runs/migration.py
@@ -5,7 +5,8 @@
 step ends with its slowest task. A run is migrated if its remaining time here
 exceeds that on the best other worker, with the cost of the migration and the
 work lost by it, by a clear margin. Its place there is reserved until it has
-stopped, so that no two runs are promised the same free capacity.
+stopped, so that no two runs are promised the same free capacity. Members of a
+gang stay, since the others would end with them.
 """
 
 import msgspec
@@ -170,6 +171,7 @@
         for task_id, placed in placed_runs.items()
         if task_id in slow_keys
         and placed.key in view.progress_by_run
+        and not placed.step.is_gang
         and not needs_advice(scheduling_pass.tables, placed.task.step_key)
     ]
 
--- a/cumintack/coordination/runs/migration_test.py
+++ b/cumintack/coordination/runs/migration_test.py
@@ -168,6 +168,13 @@
     assert not workers.report_and_choose(8, 0.5, 1)
 
 
+def test_member_of_a_gang_stays() -> None:
+    """The other members would end with it."""
+    step = msgspec.structs.replace(STEP, is_gang=True)
+    workers = TwoWorkers(step)
+    assert not workers.report_and_choose(8, 0.3, 1)
+
+
 def test_short_slowness_causes_no_migration() -> None:
     """One low measurement may be an error of measurement."""
     workers = TwoWorkers(STEP)
