Forget observations by time, not by their number

Cause: every observation of a latency-critical image scaled down all earlier ones, by half after 1,400. Two observations a second of each task make that one minute on eleven workers, but a second or two in a fleet of 160 workers with hundreds of latency-critical tasks: what was learned of an image was forgotten whenever it had no tasks for some seconds. Found by reading. Change: sums halve in 60 s, once for each fit; an observation costs less. Test: test_large_fleet_remembers_an_image_that_pauses, which fails with the earlier module.

--- a/cumintack/coordination/runs/interference_model.py
+++ b/cumintack/coordination/runs/interference_model.py
@@ -39,9 +39,9 @@
 # pair counts as learned: one start of six cores. The standard error is then
 # 0.05 per core.
 LEARNED_STRENGTH = 30.0
-# Factor on the weight of an observation with each later one of the image; it
-# halves after 1,400 observations, about a minute.
-DECAY = 0.9995
+# Seconds in which the weight of an observation halves. It does not depend on
+# the number of observations, of which a large fleet makes a thousand a second.
+HALF_LIFE_S = 60.0
 # Iterations of coordinate descent in a fit, which starts from the last fit.
 FIT_PASSES = 4
 # Time constant of the running means, in seconds: much shorter than the 14 s
@@ -92,11 +92,13 @@
         images: Statistics by latency-critical image.
         means_by_run: Means by latency-critical run.
         pooled: Statistics over all latency-critical images together.
+        fitted_at_s: When the weights were last fitted, None before that.
     """
 
     images: dict[str, ImageStatistics] = {}
     means_by_run: dict[RunKey, RunMeans] = {}
     pooled: ImageStatistics = msgspec.field(default_factory=ImageStatistics)
+    fitted_at_s: float | None = None
 
 
 class Observation(msgspec.Struct, frozen=True):
@@ -166,10 +168,6 @@
     deviations: dict[str, float],
     margin_loss: float,
 ) -> None:
-    for summed_pair in statistics.product_sums:
-        statistics.product_sums[summed_pair] *= DECAY
-    for image in statistics.loss_sums:
-        statistics.loss_sums[image] *= DECAY
     for left, deviation in deviations.items():
         statistics.loss_sums[left] = (
             statistics.loss_sums.get(left, 0) + deviation * margin_loss
@@ -194,18 +192,31 @@
             model.means_by_run.pop(key)
 
 
-def fit_weights(model: InterferenceModel) -> None:
-    """Fit the weights to the observations.
+def fit_weights(model: InterferenceModel, now_s: float) -> None:
+    """Fit the weights to the observations, of which later ones count more.
 
     Args:
         model: The interference model, changed in place.
+        now_s: Current time of the monotonic clock, in seconds.
     """
+    elapsed_s = 0 if model.fitted_at_s is None else now_s - model.fitted_at_s
+    model.fitted_at_s = now_s
+    decay = HALF ** (elapsed_s / HALF_LIFE_S)
+    for decayed in (model.pooled, *model.images.values()):
+        _scale_sums(decayed, decay)
     _fit_image_weights(model.pooled, {}, 0)
     noise = NOISE_ALLOWANCE * MARGIN_NOISE
     for statistics in model.images.values():
         _fit_image_weights(statistics, model.pooled.weights, noise)
 
 
+def _scale_sums(statistics: ImageStatistics, factor: float) -> None:
+    for summed_pair in statistics.product_sums:
+        statistics.product_sums[summed_pair] *= factor
+    for image in statistics.loss_sums:
+        statistics.loss_sums[image] *= factor
+
+
 def _fit_image_weights(
     statistics: ImageStatistics, priors: dict[str, float], noise: float
 ) -> None:
--- a/cumintack/coordination/runs/interference_model_test.py
+++ b/cumintack/coordination/runs/interference_model_test.py
@@ -72,7 +72,7 @@
         for worker in workers:
             now_s = step * OBSERVATION_INTERVAL_S
             record_observation(model, worker.step(now_s), now_s)
-        fit_weights(model)
+        fit_weights(model, step * OBSERVATION_INTERVAL_S)
     return model
 
 
@@ -97,7 +97,7 @@
             {HEAVY: CORES},
         )
         record_observation(model, observation, step * OBSERVATION_INTERVAL_S)
-    fit_weights(model)
+    fit_weights(model, now_s=20)
     assert not is_learned(model, CRITICAL_IMAGE, HEAVY)
 
 
@@ -109,7 +109,7 @@
         cores = {HEAVY: CORES} if step > 4 else {}
         observation = Observation(key, CRITICAL_IMAGE, 2.0, cores)
         record_observation(model, observation, step * OBSERVATION_INTERVAL_S)
-    fit_weights(model)
+    fit_weights(model, now_s=20)
     assert is_learned(model, CRITICAL_IMAGE, HEAVY)
     assert not is_learned(model, CRITICAL_IMAGE, LIGHT)
 
@@ -130,5 +130,19 @@
     for step, (margin, cores) in enumerate(((2.0, 0.0), (2.0, 2.0))):
         observation = Observation(key, CRITICAL_IMAGE, margin, {HEAVY: cores})
         record_observation(model, observation, step * OBSERVATION_INTERVAL_S)
-    fit_weights(model)
+    fit_weights(model, now_s=20)
     assert get_weight(model, CRITICAL_IMAGE, HEAVY) > PRIOR_WEIGHT / 2
+
+
+def test_large_fleet_remembers_an_image_that_pauses() -> None:
+    """Observations of other images do not wear down what is known of one."""
+    model = _learn(1, 20)
+    learned = get_weight(model, CRITICAL_IMAGE, HEAVY)
+    for step in range(5000):
+        now_s = 20 + step / 1000
+        key = RunKey('0123456789abcdef.0.1.0', step)
+        idle = Observation(key, CRITICAL_IMAGE, 2.0, {})
+        record_observation(model, idle, now_s)
+        record_observation(model, idle, now_s + OBSERVATION_INTERVAL_S)
+    fit_weights(model, now_s=25)
+    assert get_weight(model, CRITICAL_IMAGE, HEAVY) > 0.9 * learned
--- a/cumintack/coordination/runs/run_leadership.py
+++ b/cumintack/coordination/runs/run_leadership.py
@@ -493,7 +493,7 @@
         effects.extend(_propose_ends(leadership, tables, ends, now_s))
         effects.extend(_begin_due_occurrences(tables, now_ms))
         _evacuate_draining_workers(leadership, tables, now_s)
-        fit_weights(leadership.interference)
+        fit_weights(leadership.interference, now_s)
         prune_means(leadership.interference, now_s)
         prune_inactive_steps(leadership.advice, tables)
         prune_index(leadership.index, tables, now_s)
