--- a/cumintack/coordination/runs/interference_model_test.py
+++ b/cumintack/coordination/runs/interference_model_test.py
@@ -138,11 +138,11 @@
     """Observations of other images do not wear down what is known of one."""
     model = _learn(1, 20)
     learned = get_weight(model, CRITICAL_IMAGE, HEAVY)
-    for step in range(5000):
+    for step in range(20000):
         now_s = 20 + step / 1000
         key = RunKey('0123456789abcdef.0.1.0', step)
         idle = Observation(key, CRITICAL_IMAGE, 2.0, {})
         record_observation(model, idle, now_s)
         record_observation(model, idle, now_s + OBSERVATION_INTERVAL_S)
-    fit_weights(model, now_s=25)
+    fit_weights(model, now_s=40)
     assert get_weight(model, CRITICAL_IMAGE, HEAVY) > 0.9 * learned
