--- a/review/standins.py
+++ b/review/standins.py
@@ -23,7 +23,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 HOST = 'queue.example'
-PREFIX = '/work/'
+PREFIX = '/jobs/'
 # Bounds of the small deployment, as in DEPLOY.md.
 BOUNDS = {
     'grace_s': 6,
