Runs of earlier incarnations end without a poll of the current one

What callers saw: after a worker had crashed, announced its next incarnation, answered no call and was lost for good, its tasks were never started again.

Cause: the leader ended a run of an earlier incarnation only once a poll of the current one did not list it. That poll never came, while the reports of the guard went on, so that no lease ever counted as expired either. Three more paths had the same cause: incarnations that follow each other without an answer, a worker that leaves without an answered poll, and a late start that a poll showed before its worker fell silent.

The guard withheld its reports for 3 s only, so that this was not the reason.

Why the fix works: a later incarnation proves that the runs of the earlier one are over, except a start that the later one may have carried out. The guard knows these starts and names them in its reports (possibly_started); they wait for a poll, or for the last moment of the start and its lease. A guard younger than 22 s can't name the starts of its previous process and says so.

--- a/cumintack/coordination/runs/run_ends.py
+++ b/cumintack/coordination/runs/run_ends.py
@@ -36,11 +36,23 @@
         # A start in flight may have reached the new incarnation instead.
         if lifetime < reported and key in self._ended_by_key:
             return self._create_listed_end(key)
-        is_absent = self._report.is_looked and key not in self._running_keys
-        if lifetime < reported and is_absent:
+        if lifetime < reported and self._is_absent(key):
             return self._create_lost_end(key, lifetime)
         return None
 
+    def _is_absent(self, key: RunKey) -> bool:
+        """Return whether the reported incarnation certainly lacks a run.
+
+        Nothing outlives the incarnation on which it runs. A poll is needed
+        only for runs that the reported incarnation may have started.
+        """
+        if key in self._running_keys:
+            return False
+        if self._report.is_looked or self._report.is_gone:
+            return True
+        possibly_started = self._report.possibly_started
+        return possibly_started is not None and key not in possibly_started
+
     def _create_lost_end(self, key: RunKey, lifetime: str) -> RunEnd:
         """Create the end of a run whose incarnation of the worker is over."""
         loss = self._report.loss
--- a/cumintack/coordination/runs/run_ends_test.py
+++ b/cumintack/coordination/runs/run_ends_test.py
@@ -23,6 +23,10 @@
     running: tuple[RunningRun, ...] = (),
     ended: tuple[EndedRun, ...] = (),
     loss: WorkerLoss | None = None,
+    *,
+    is_looked: bool = True,
+    is_gone: bool = False,
+    possibly_started: tuple[RunKey, ...] | None = None,
 ) -> RunEndDetector:
     worker_info = WorkerInfo(
         'worker',
@@ -40,11 +44,12 @@
             running,
             ended,
             (),
-            is_looked=True,
+            is_looked,
             is_answering=True,
-            is_gone=False,
+            is_gone=is_gone,
             unsure_for_s=0,
             loss=loss,
+            possibly_started=possibly_started,
         ),
     )
 
@@ -78,3 +83,28 @@
     assert end is not None
     assert end.kind.value == kind
     assert end.checkpoint == 'saved'
+
+
+# Guards against runs that are held for good by a worker that never answers.
+@pytest.mark.parametrize(
+    ('possibly_started', 'has_ended'),
+    [((), True), ((KEY,), False), (None, False)],
+)
+def test_unpolled_incarnation_holds_only_what_it_may_have_started(
+    possibly_started: tuple[RunKey, ...] | None, *, has_ended: bool
+) -> None:
+    """Nothing outlives the incarnation on which it runs."""
+    detector = _create_detector(
+        is_looked=False, possibly_started=possibly_started
+    )
+    assert bool(detector.find(KEY, PREVIOUS_LIFETIME)) is has_ended
+
+
+# Guards against runs that are held for good by a worker that left unpolled.
+def test_incarnation_that_left_unpolled_holds_no_run() -> None:
+    """Whatever it started has ended with it."""
+    end = _create_detector(is_looked=False, is_gone=True).find(
+        KEY, PREVIOUS_LIFETIME
+    )
+    assert end is not None
+    assert end.kind is RunEndKind.lost
--- a/cumintack/coordination/runs/run_leadership.py
+++ b/cumintack/coordination/runs/run_leadership.py
@@ -423,6 +423,32 @@
     return CrashEvidence.coincident
 
 
+def list_undecided_runs(
+    leadership: RunLeadership,
+    tables: WorkflowTables,
+    guard: str,
+    report: RunReport,
+) -> list[RunKey]:
+    """List the runs of earlier incarnations that a report does not end.
+
+    Args:
+        leadership: The state of the leader, after the report was handled.
+        tables: The replicated workflow tables.
+        guard: The name of the guard.
+        report: The report.
+
+    Returns:
+        The runs, which are held until a later report decides on them.
+    """
+    placed_runs = get_placed_runs(leadership.index, tables, guard)
+    return [
+        placed.key
+        for placed in placed_runs.values()
+        if placed.record.lifetime < report.facts.lifetime
+        and placed.key not in leadership.proposed_ends
+    ]
+
+
 def _list_possibly_ended(
     placed_runs: PlacedRuns, report: RunReport
 ) -> list[PlacedRun]:
--- a/cumintack/coordination/runs/run_overlap_test.py
+++ b/cumintack/coordination/runs/run_overlap_test.py
@@ -216,3 +216,39 @@
     platform.run_until(platform.read_clock_s() + 1)
     platform.kill_guard(guard)
     _assert_no_overlap(platform, LEASE_S + 0.7)
+
+
+# Guards against tasks that never run again after their worker was lost while
+# it did not answer.
+def test_worker_that_starts_again_and_never_answers() -> None:
+    """Its announcement alone shows that the earlier incarnation is over."""
+    platform = _create_platform(LateCalls('', 0, bool))
+    guard = _submit(platform)
+    platform.run_until(START_S + 3)
+    worker_id = platform.crash_worker(guard)
+    platform.run_until(START_S + 4)
+    _start_unanswering_worker(platform, guard, worker_id)
+    _assert_no_overlap(platform, 2)
+
+
+# Guards against tasks that are held while a worker starts again and again.
+def test_worker_that_keeps_starting_again_and_never_answers() -> None:
+    """Each incarnation ends before it has been silent for long."""
+    platform = _create_platform(LateCalls('', 0, bool))
+    guard = _submit(platform)
+    platform.run_until(START_S + 3)
+    for second in range(4, 9):
+        worker_id = platform.crash_worker(guard)
+        platform.run_until(START_S + second)
+        _start_unanswering_worker(platform, guard, worker_id)
+    _assert_no_overlap(platform, 1)
+
+
+def _start_unanswering_worker(
+    platform: RunPlatform, guard: str, worker_id: str
+) -> None:
+    """Start a worker that announces itself once and answers no call."""
+    machine = platform.machines[guard]
+    machine.cut_until_s = platform.read_clock_s()
+    platform.start_worker(guard, worker_id)
+    machine.cut_until_s = START_S + 100
--- a/cumintack/coordination/runs/run_reconciliation.py
+++ b/cumintack/coordination/runs/run_reconciliation.py
@@ -19,6 +19,7 @@
     has_unanswered_start,
     is_accepting,
     is_restarted,
+    list_possibly_started,
     list_unanswered_starts,
     prune_unanswered_calls,
     record_earlier_leases,
@@ -475,4 +476,5 @@
         is_restarted(state, now_s),
         is_accepting(state, worker_info, now_s),
         state.loss,
+        list_possibly_started(state, worker_info, now_s),
     )
--- a/cumintack/coordination/runs/unanswered_calls.py
+++ b/cumintack/coordination/runs/unanswered_calls.py
@@ -215,6 +215,30 @@
     ]
 
 
+def list_possibly_started(
+    state: WorkerRunState, worker_info: WorkerInfo, now_s: float
+) -> tuple[RunKey, ...] | None:
+    """List the runs that the current incarnation may have started unseen.
+
+    Args:
+        state: The state of the runs on the worker, without the unanswered
+            starts that are resolved.
+        worker_info: The worker in its current incarnation.
+        now_s: Current time of the monotonic clock, in seconds.
+
+    Returns:
+        Runs meant for earlier incarnations; None while runs that the previous
+        process of the guard started may still hold a lease.
+    """
+    if now_s < state.started_at_s + MAX_CALL_DELAY_S + state.max_lease_s:
+        return None
+    return tuple(
+        key
+        for key, start in state.unanswered_starts.items()
+        if start.worker_id in {'', worker_info.worker_id}
+    )
+
+
 def _is_start_resolved(
     state: WorkerRunState, start: UnansweredStart, now_s: float
 ) -> bool:
--- a/cumintack/coordination/runs/unanswered_calls_test.py
+++ b/cumintack/coordination/runs/unanswered_calls_test.py
@@ -462,3 +462,40 @@
     assert not state.unanswered_starts
     _leave(state)
     assert _report(state, 15).is_gone
+
+
+# Guards against runs that are held for good by a worker that never answers.
+def test_unpolled_incarnation_names_the_runs_that_it_may_have_started() -> None:
+    """A late start is possible for 12 s, and its run for a lease more."""
+    state = _create_state()
+    _order(state, 1, 1, (KEY,))
+    _poll(state, 1)
+    _answer(state, _take_call(state, 1, StartRun), 2, is_answered=False)
+    record_worker_info(state, SECOND, 3)
+    assert create_report(state, 2 + MAX_CALL_DELAY_S - 0.1) is None
+    possible = _report(state, 2 + MAX_CALL_DELAY_S + 0.1)
+    assert not possible.is_looked
+    assert possible.possibly_started == (KEY,)
+    over = _report(state, 2 + MAX_CALL_DELAY_S + MAX_LEASE_S + 0.1)
+    assert over.possibly_started == ()
+
+
+# Guards against a second run beside one that an earlier guard process started.
+def test_young_guard_cannot_name_the_runs_of_the_previous_process() -> None:
+    """Its late starts may hold a lease for 22 s."""
+    state = _create_state(100)
+    record_worker_info(state, SECOND, 101)
+    until_s = 100 + MAX_CALL_DELAY_S + MAX_LEASE_S
+    assert _report(state, until_s - 0.1).possibly_started is None
+    assert _report(state, until_s + 0.1).possibly_started == ()
+
+
+# Guards against runs that are held for good by a worker with a new identifier.
+def test_start_for_another_identifier_holds_no_run() -> None:
+    """The worker refuses calls that name the previous identifier."""
+    state = _create_state()
+    _order(state, 1, 1, (KEY,))
+    _poll(state, 1)
+    _answer(state, _take_call(state, 1, StartRun), 2, is_answered=False)
+    record_worker_info(state, OTHER, 3)
+    assert _report(state, 3).possibly_started == ()
--- a/cumintack/daemon/workflow_coordinator.py
+++ b/cumintack/daemon/workflow_coordinator.py
@@ -13,6 +13,7 @@
     handle_report,
     handle_run_proposal_failure,
     handle_run_tick,
+    list_undecided_runs,
 )
 from cumintack.daemon.advice_requester import AdviceRequester
 from cumintack.daemon.node import Node
@@ -22,6 +23,7 @@
     log_operation,
     log_reported_losses,
     log_stop_requests,
+    log_undecided_runs,
 )
 from cumintack.protocol.run_messages import (
     QueueConfigurationQuery,
@@ -97,8 +99,14 @@
         if self._leadership is None:
             return []
         logged = set(self._leadership.stop_reasons)
+        previous = self._leadership.views.get(sender)
         effects = handle_report(self._leadership, tables, sender, report, now_s)
         log_reported_losses(effects, sender, report)
+        if previous is None or previous.facts.lifetime < report.facts.lifetime:
+            undecided = list_undecided_runs(
+                self._leadership, tables, sender, report
+            )
+            log_undecided_runs(undecided, sender, report)
         log_stop_requests(self._leadership.stop_reasons, logged)
         return effects
 
--- a/cumintack/daemon/workflow_guard_component.py
+++ b/cumintack/daemon/workflow_guard_component.py
@@ -134,6 +134,7 @@
         '_client',
         '_lease_sent_until_s',
         '_is_closing',
+        '_is_report_withheld',
         '_is_worker_lost',
         '_node',
         '_next_report_at_s',
@@ -163,6 +164,7 @@
         self._acknowledged = SettledEnds()
         self._is_closing = False
         self._is_worker_lost = False
+        self._is_report_withheld = False
         self._poll_event = AutoResetEvent()
         self._queued_calls: queue.SimpleQueue[QueuedCall] = queue.SimpleQueue()
         self._server: HttpServer | None = None
@@ -484,6 +486,7 @@
     def _send_report(self, now_s: float) -> None:
         leader = self._node.calls.leader
         report = create_report(self._runs, now_s)
+        self._log_withheld_report(is_withheld=report is None)
         if report is None or not leader:
             return
         self._next_report_at_s = (
@@ -491,6 +494,19 @@
         )
         self._node.send(leader, report)
 
+    def _log_withheld_report(self, *, is_withheld: bool) -> None:
+        """Log when reports become withheld or are sent again."""
+        worker_info = self._runs.facts
+        if worker_info is None or is_withheld is self._is_report_withheld:
+            return
+        self._is_report_withheld = is_withheld
+        event = 'withheld' if is_withheld else 'sent again'
+        logger.info(
+            f'guard: reports {event}',
+            lifetime=worker_info.lifetime,
+            unanswered_starts=len(self._runs.unanswered_starts),
+        )
+
     def tick(self, now_s: float) -> None:
         """Send the report and queue retries if they are due."""
         interval_s = self._settings.report_interval_ms / MS_PER_S
--- a/cumintack/daemon/workflow_logging.py
+++ b/cumintack/daemon/workflow_logging.py
@@ -243,6 +243,36 @@
         )
 
 
+def log_undecided_runs(
+    undecided: list[RunKey], guard: str, report: RunReport
+) -> None:
+    """Log the runs that the first report of an incarnation does not end.
+
+    Args:
+        undecided: Runs of earlier incarnations that are held.
+        guard: The name of the guard.
+        report: The report.
+    """
+    if undecided:
+        possibly_started = report.possibly_started
+        logger.info(
+            'control: runs undecided',
+            guard=guard,
+            lifetime=report.facts.lifetime,
+            runs=[
+                f'{key.task_id}/{key.run}'
+                for key in undecided[:MAX_RUNS_PER_LINE]
+            ],
+            count=len(undecided),
+            is_looked=report.is_looked,
+            is_gone=report.is_gone,
+            is_restarted=report.is_restarted,
+            possibly_started=(
+                None if possibly_started is None else len(possibly_started)
+            ),
+        )
+
+
 def _list_lost_runs(effects: list[RunEffect]) -> list[RunEnd]:
     return [
         end
--- a/cumintack/protocol/run_messages.py
+++ b/cumintack/protocol/run_messages.py
@@ -221,6 +221,9 @@
             remove ends of this one.
         loss: The latest unplanned loss of the worker, in this incarnation or
             an earlier one.
+        possibly_started: Runs meant for earlier incarnations that this one may
+            have started since its latest poll; None if the guard cannot name
+            them.
     """
 
     sent_at_s: float
@@ -236,6 +239,7 @@
     is_restarted: bool = False
     is_accepting: bool = True
     loss: WorkerLoss | None = None
+    possibly_started: tuple[RunKey, ...] | None = None
 
 
 class WorkflowQuery(msgspec.Struct, frozen=True, tag=True):
