A failed task is kept off workers only in favour of others that suit it

Cause: a task that has failed avoided the workers where it did while any untried worker was left, and workers of other pools, without its label, too small for it or without a ticket all counted as untried. Only these were rated, and none of them could run it. An untried worker that suited it but stayed full had the same effect, and so had probation: 10 s without a start.

Evidence: in the log of the case the end is recorded and no "placed" follows.

Why the fix works: the workers that suit the task are found first, and its history only ranks them. A worker that has just failed a run is used if it is all there is, or after a second. The loop over the tasks of a step goes on past one whose history rules workers out.

--- a/cumintack/coordination/runs/admission_advice_test.py
+++ b/cumintack/coordination/runs/admission_advice_test.py
@@ -22,6 +22,7 @@
 )
 from cumintack.protocol.run_messages import (
     ClosedRun,
+    EndedRun,
     RunKey,
     RunOrders,
     RunReport,
@@ -88,9 +89,10 @@
             for effect in handle_run_tick(
                 self.leadership, self.tables, now_s, 0
             ):
-                self._run(effect)
+                self.run(effect)
 
-    def _run(self, effect: RunEffect) -> None:
+    def run(self, effect: RunEffect) -> None:
+        """Apply a proposal, and keep orders."""
         match effect:
             case ProposeAsLeader(operation=RecordRuns() as operation):
                 self.apply(operation)
@@ -225,6 +227,27 @@
     )
 
 
+# Guards against a task that waits for good for workers that are not admitted.
+def test_failed_task_starts_again_on_the_only_admitted_worker() -> None:
+    """Workers without a ticket do not count as untried."""
+    harness = LeaderHarness()
+    request = harness.choose_request(0)
+    assert request is not None
+    harness.answer(request, f'w-{GUARDS[3]}', 0.1)
+    harness.tick(0.1)
+    failed = msgspec.structs.replace(
+        _create_report(GUARDS[3]),
+        sent_at_s=1,
+        ended=(EndedRun(1, RunKey(TASK, 1), 'failed', ''),),
+    )
+    for effect in handle_report(
+        harness.leadership, harness.tables, GUARDS[3], failed, 0.2
+    ):
+        harness.run(effect)
+    harness.tick(0.3)
+    assert harness.get_guard() == GUARDS[3]
+
+
 def test_unanswered_request_is_repeated() -> None:
     """A request that got no answer is repeated after a delay."""
     harness = LeaderHarness()
--- a/cumintack/coordination/runs/failure_tracking.py
+++ b/cumintack/coordination/runs/failure_tracking.py
@@ -14,6 +14,9 @@
 FAILURE_WINDOW_S = 10.0
 # Seconds without placements after failures; a third of a usual fault.
 COOLDOWN_S = 2.0
+# Seconds after a failure for which the worker is a likely cause; a worker that
+# fails every run seldom goes without a failure for longer.
+RECENT_FAILURE_S = 1.0
 
 
 def record_failure(view: WorkerView, now_s: float) -> None:
@@ -52,3 +55,16 @@
     """
     recent = [at_s for at_s in view.failures if now_s - at_s < FAILURE_WINDOW_S]
     return len(recent) >= MIN_FAILURES
+
+
+def has_just_failed(view: WorkerView, now_s: float) -> bool:
+    """Tell whether the latest run to end on a worker has just failed.
+
+    Args:
+        view: The worker as last reported.
+        now_s: Current time of the monotonic clock, in seconds.
+
+    Returns:
+        Whether the worker itself may be the cause.
+    """
+    return bool(view.failures) and now_s - view.failures[-1] < RECENT_FAILURE_S
--- a/cumintack/coordination/runs/placement.py
+++ b/cumintack/coordination/runs/placement.py
@@ -5,6 +5,7 @@
 behind it.
 """
 
+import enum
 from collections.abc import Container, Iterable, Iterator
 
 import msgspec
@@ -29,7 +30,10 @@
     choose_isolated_worker,
     list_workers_for_suspect,
 )
-from cumintack.coordination.runs.failure_tracking import is_on_probation
+from cumintack.coordination.runs.failure_tracking import (
+    has_just_failed,
+    is_on_probation,
+)
 from cumintack.coordination.runs.interference_model import InterferenceModel
 from cumintack.coordination.runs.speed_estimate import estimate_speed
 from cumintack.coordination.runs.step_ranking import StepRank
@@ -65,6 +69,16 @@
 MIN_SPEED = 0.4
 
 
+class Objection(enum.IntEnum):
+    """What speaks against a worker for a task, least serious first."""
+
+    none = 0
+    # The task failed there, but nothing suggests that the worker is at fault.
+    failed_earlier = 1
+    # A run has just failed there, or several have in a row.
+    unreliable = 2
+
+
 class SchedulingPass(msgspec.Struct):
     """One pass over the waiting steps.
 
@@ -198,9 +212,15 @@
         _list_unsuspected(scheduling_pass, key),
     ):
         view = _choose_worker(scheduling_pass, request)
-        if view is None:
+        if view is not None:
+            _record_start(
+                scheduling_pass, request, view, request.record.run + 1
+            )
+        elif kind in scheduling_pass.exhausted_kinds:
+            return
+        elif not request.record.failures:
+            # No history rules workers out for it alone.
             return
-        _record_start(scheduling_pass, request, view, request.record.run + 1)
 
 
 def _place_suspects(
@@ -380,45 +400,62 @@
 def _choose_by_scan(
     scheduling_pass: SchedulingPass, request: TaskRequest
 ) -> WorkerView | None:
-    """Choose a worker for a task whose own history or tickets matter."""
+    """Choose a worker for a task whose own history or tickets matter.
+
+    The best worker without an objection is chosen, and for want of one the
+    best that failed it earlier. A worker that should not get the task at all
+    gets it only if no other worker suits it, now or once others have ended.
+    """
+    suitable = [
+        view
+        for view in scheduling_pass.views.values()
+        if _suits(scheduling_pass, view, request)
+    ]
+    objections = {
+        view.guard: _assess_worker(view, request.record, scheduling_pass.now_s)
+        for view in suitable
+    }
+    least = min(objections.values(), default=Objection.none)
     best: WorkerView | None = None
-    best_score = float('-inf')
-    for view in _list_acceptable_workers(scheduling_pass, request):
+    best_rank = (max(least, Objection.failed_earlier), float('inf'))
+    for view in suitable:
         usage = get_usage(scheduling_pass.index, scheduling_pass.tables, view)
         score = _rate_worker(scheduling_pass, view, usage, request.kind)
-        if score is not None and score > best_score:
+        if score is None:
+            continue
+        rank = (objections[view.guard], -score)
+        if rank < best_rank:
             best = view
-            best_score = score
+            best_rank = rank
     return best
 
 
-def _list_acceptable_workers(
-    scheduling_pass: SchedulingPass, request: TaskRequest
-) -> list[WorkerView]:
-    """Return the workers without those that the history of a task rules out.
+def _suits(
+    scheduling_pass: SchedulingPass, view: WorkerView, request: TaskRequest
+) -> bool:
+    """Return whether a worker can run a task once it has room for it."""
+    if not is_schedulable(view, scheduling_pass.now_s):
+        return False
+    if not _is_eligible(view, request.kind):
+        return False
+    if not fits_within(get_reserved_resources(request.step), view.facts.holds):
+        return False
+    return not request.needs_ticket or _has_ticket(
+        scheduling_pass, view, request
+    )
 
-    A task that has failed runs on a worker where it did not, if there is one,
-    and never as the only task of a worker on probation.
-    """
-    record = request.record
-    now_s = scheduling_pass.now_s
-    schedulable = [
-        view
-        for view in scheduling_pass.views.values()
-        if is_schedulable(view, now_s)
-    ]
-    untried = [
-        view for view in schedulable if view.guard not in record.failed_on
-    ]
-    return [
-        view
-        for view in untried or schedulable
-        if not (record.failures and is_on_probation(view, now_s))
-        and (
-            not request.needs_ticket
-            or _has_ticket(scheduling_pass, view, request)
-        )
-    ]
+
+def _assess_worker(
+    view: WorkerView, record: TaskRecord, now_s: float
+) -> Objection:
+    """Return what speaks against a worker for a task with this history."""
+    if record.failures and is_on_probation(view, now_s):
+        return Objection.unreliable
+    if view.guard not in record.failed_on:
+        return Objection.none
+    if has_just_failed(view, now_s):
+        return Objection.unreliable
+    return Objection.failed_earlier
 
 
 def _rate_worker(
@@ -449,9 +486,7 @@
 
 def _can_run(view: WorkerView, usage: WorkerUsage, kind: TaskKind) -> bool:
     step = kind.step
-    if view.facts.pool != kind.pool:
-        return False
-    if step.label and step.label not in view.facts.labels:
+    if not _is_eligible(view, kind):
         return False
     if kind.limited_step is not None:
         count = usage.task_count_by_step.get(kind.limited_step, 0)
@@ -462,6 +497,14 @@
     )
 
 
+def _is_eligible(view: WorkerView, kind: TaskKind) -> bool:
+    """Return whether the pool and the labels of a worker allow a task."""
+    label = kind.step.label
+    return view.facts.pool == kind.pool and (
+        not label or label in view.facts.labels
+    )
+
+
 def _has_ticket(
     scheduling_pass: SchedulingPass,
     view: WorkerView,
