A list that leaves out ends shows no run to be absent

Cause: a worker lists 500 ends at a time. The guard took every run that was neither running nor among them for vanished, stopped it and reported it as absent, and the leader started its task again.

Evidence: with the new log lines and the earlier logic, "list of ends cut" (500 listed) is followed by "runs absent ... vanished", 3.4 s before the other 200 ends are listed. The reason is not "lapsed", and nothing was acknowledged in between.

Why the fix works: a poll says whether it lists all ends, and nothing is inferred from the absence of a run from a cut list: no vanished run, no refusal that shows that it never ran, no resolved start, no end of an earlier incarnation. The list shrinks once the leader records the listed ends.

--- a/cumintack/coordination/runs/due_calls.py
+++ b/cumintack/coordination/runs/due_calls.py
@@ -25,6 +25,7 @@
     get_running,
     is_lost,
     is_settled,
+    lists_all_ends,
 )
 from cumintack.protocol.run_messages import RunKey, WorkerInfo
 
@@ -200,7 +201,7 @@
         return
     if state.facts is not None and state.facts.is_draining:
         call_state.refusal = 'the worker is draining'
-        if is_settled(call_state):
+        if is_settled(call_state) and lists_all_ends(state):
             call_state.absence_reason = call_state.refusal
         return
     details = state.details.get(key)
--- a/cumintack/coordination/runs/fake_guard_test.py
+++ b/cumintack/coordination/runs/fake_guard_test.py
@@ -400,7 +400,12 @@
             now_s = self._world.read_clock_s()
             self._clock_reading = (reply.clock_ms, now_s)
             poll = PollResult(
-                sent_at_s, now_s, reply.lifetime, reply.running, reply.ended
+                sent_at_s,
+                now_s,
+                reply.lifetime,
+                reply.running,
+                reply.ended,
+                reply.lists_all_ends,
             )
         self._after(self._get_step_delay_s(), lambda: self._handle_poll(poll))
         return poll
--- a/cumintack/coordination/runs/fake_worker_fleet_test.py
+++ b/cumintack/coordination/runs/fake_worker_fleet_test.py
@@ -53,6 +53,7 @@
     lifetime: str = ''
     running: tuple[RunningRun, ...] = ()
     ended: tuple[EndedRun, ...] = ()
+    lists_all_ends: bool = True
 
 
 class FakeRun(msgspec.Struct):
@@ -167,6 +168,7 @@
     is_capacity_checked: bool
     work_durations_s: tuple[float, ...] = (0.3, 1, 3, 8, 20)
     failure_share: float = 0.1
+    max_listed_ends: int = 500
 
 
 class FakeMachine:
@@ -370,7 +372,8 @@
                 )
                 for key, run in worker.runs.items()
             ),
-            tuple(worker.ended[:500]),
+            tuple(worker.ended[: self._settings.max_listed_ends]),
+            len(worker.ended) < self._settings.max_listed_ends,
         )
 
     def _log(self, at_s: float, text: str) -> None:
--- a/cumintack/coordination/runs/run_ends.py
+++ b/cumintack/coordination/runs/run_ends.py
@@ -48,7 +48,10 @@
         """
         if key in self._running_keys:
             return False
-        if self._report.is_looked or self._report.is_gone:
+        is_listed_in_full = (
+            self._report.is_looked and self._report.lists_all_ends
+        )
+        if is_listed_in_full or self._report.is_gone:
             return True
         possibly_started = self._report.possibly_started
         return possibly_started is not None and key not in possibly_started
--- a/cumintack/coordination/runs/run_ends_test.py
+++ b/cumintack/coordination/runs/run_ends_test.py
@@ -1,5 +1,6 @@
 """Tests of ends detected for runs meant for a previous incarnation."""
 
+import msgspec
 import pytest
 
 from cumintack.coordination.runs.run_ends import RunEndDetector
@@ -23,10 +24,7 @@
     running: tuple[RunningRun, ...] = (),
     ended: tuple[EndedRun, ...] = (),
     loss: WorkerLoss | None = None,
-    *,
-    is_looked: bool = True,
-    is_gone: bool = False,
-    possibly_started: tuple[RunKey, ...] | None = None,
+    **changes: object,
 ) -> RunEndDetector:
     worker_info = WorkerInfo(
         'worker',
@@ -36,22 +34,20 @@
         Resources(32000, 128000),
         (),
     )
-    return RunEndDetector(
-        RunReport(
-            0,
-            1,
-            worker_info,
-            running,
-            ended,
-            (),
-            is_looked,
-            is_answering=True,
-            is_gone=is_gone,
-            unsure_for_s=0,
-            loss=loss,
-            possibly_started=possibly_started,
-        ),
+    report = RunReport(
+        0,
+        1,
+        worker_info,
+        running,
+        ended,
+        (),
+        is_looked=True,
+        is_answering=True,
+        is_gone=False,
+        unsure_for_s=0,
+        loss=loss,
     )
+    return RunEndDetector(msgspec.structs.replace(report, **changes))
 
 
 def test_run_of_previous_incarnation_is_lost() -> None:
@@ -108,3 +104,12 @@
     )
     assert end is not None
     assert end.kind is RunEndKind.lost
+
+
+# Guards against a second run of a task whose end is not listed yet.
+def test_late_start_has_not_ended_while_ends_are_left_out() -> None:
+    """It may have ended as done on the current incarnation."""
+    cut = _create_detector(possibly_started=(KEY,), lists_all_ends=False)
+    assert cut.find(KEY, PREVIOUS_LIFETIME) is None
+    whole = _create_detector(possibly_started=(KEY,))
+    assert whole.find(KEY, PREVIOUS_LIFETIME) is not None
--- a/cumintack/coordination/runs/run_overlap_test.py
+++ b/cumintack/coordination/runs/run_overlap_test.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable
 
+import msgspec
+
 from cumintack.coordination.runs.fake_run_platform_test import (
     CAPACITY_MILLI,
     LEASE_S,
@@ -23,6 +25,18 @@
 # By then no call of an earlier guard process may take effect any more.
 START_S = 130.0
 STEP = StepSpec(1, Resources(1000, 100))
+SETTINGS = FakeWorkerSettings(
+    10.0,
+    CAPACITY_MILLI,
+    is_capacity_checked=True,
+    work_durations_s=(60.0,),
+    failure_share=0,
+)
+# Two ends are listed at a time, of tasks that end soon.
+PAGED_SETTINGS = msgspec.structs.replace(
+    SETTINGS, work_durations_s=(0.2, 0.4, 0.6, 0.8), max_listed_ends=2
+)
+PAGED_STEP = StepSpec(12, Resources(1000, 100))
 
 
 class LateCalls:
@@ -52,14 +66,9 @@
         return self.delay_s
 
 
-def _create_platform(late_calls: LateCalls) -> RunPlatform:
-    settings = FakeWorkerSettings(
-        10.0,
-        CAPACITY_MILLI,
-        is_capacity_checked=True,
-        work_durations_s=(60.0,),
-        failure_share=0,
-    )
+def _create_platform(
+    late_calls: LateCalls, settings: FakeWorkerSettings = SETTINGS
+) -> RunPlatform:
     platform = RunPlatform(0, 2, settings)
     platform.heartbeat_delay_share = 0
     platform.choose_late_delay_s = late_calls.choose
@@ -244,6 +253,61 @@
     _assert_no_overlap(platform, 1)
 
 
+# Guards against tasks that run again although their end waits to be listed.
+def test_ends_beyond_the_first_page_while_the_leader_is_away() -> None:
+    """Nobody acknowledges the listed ends, so that the others stay hidden."""
+    platform = _create_platform(LateCalls('', 0, bool), PAGED_SETTINGS)
+    _submit_paged(platform)
+    for guard in platform.machines:
+        platform.link_cut_until_s[guard] = START_S + 4
+    _assert_run_once(platform)
+
+
+# Guards against tasks that run again after a start that was answered late.
+def test_repeated_start_of_a_run_whose_end_is_not_listed() -> None:
+    """The worker refuses the second start, since the first one has ended."""
+    platform = _create_platform(
+        LateCalls('start', 0.3, lambda number: number % 2 == 1), PAGED_SETTINGS
+    )
+    _submit_paged(platform)
+    for guard in platform.machines:
+        platform.link_cut_until_s[guard] = START_S + 4
+    _assert_run_once(platform)
+
+
+# Guards against tasks that run again after a restart of a guard.
+def test_restarted_guard_of_a_worker_with_hidden_ends() -> None:
+    """The new process knows no start, and the list shows no end of it."""
+    platform = _create_platform(LateCalls('', 0, bool), PAGED_SETTINGS)
+    _submit_paged(platform)
+    for guard in platform.machines:
+        platform.link_cut_until_s[guard] = START_S + 3
+    platform.run_until(START_S + 1.5)
+    for guard in platform.machines:
+        platform.kill_guard(guard)
+        platform.start_guard(guard)
+    _assert_run_once(platform)
+
+
+def _submit_paged(platform: RunPlatform) -> None:
+    """Submit tasks, more of which end on a worker than a poll lists."""
+    platform.submit(PAGED_STEP)
+    platform.run_until(platform.read_clock_s() + 0.15)
+
+
+def _assert_run_once(platform: RunPlatform) -> None:
+    """Check that the tasks end, and that none starts a second time."""
+    platform.run_until(platform.read_clock_s() + 30)
+    lines = '\n'.join(platform.journal.lines)
+    assert not platform.journal.violations, lines
+    done = {key.task_id for key in platform.journal.done_at_s}
+    assert len(done) == PAGED_STEP.task_count, lines
+    tables = platform.leader.tables
+    assert not any(tables.index.placed.values()), lines
+    starts = platform.journal.starts.values()
+    assert all(len(times) == 1 for times in starts), lines
+
+
 def _start_unanswering_worker(
     platform: RunPlatform, guard: str, worker_id: str
 ) -> None:
--- a/cumintack/coordination/runs/run_reconciliation.py
+++ b/cumintack/coordination/runs/run_reconciliation.py
@@ -3,7 +3,8 @@
 The orders list the runs that the worker should run, and polls list the runs
 that it has. The guard makes calls for the difference. An unanswered call may
 still take effect later; a run therefore counts as absent only once the worker
-has confirmed a stop of it and a later poll does not list it.
+has confirmed a stop of it and a later poll does not list it. A poll that leaves
+out ends says nothing about the runs that it does not list.
 """
 
 import msgspec
@@ -49,6 +50,7 @@
     get_running,
     is_lost,
     is_settled,
+    lists_all_ends,
 )
 from cumintack.protocol.run_messages import (
     LEASE_EXPIRED,
@@ -210,10 +212,11 @@
     if is_lost(state):
         clear_worker_loss(state, poll.lifetime)
         has_news = True
-    shown = get_running(state) | get_ended(state)
-    for key, call_state in state.call_states.items():
-        if key not in shown:
-            has_news = _check_absence(call_state, poll) or has_news
+    if poll.lists_all_ends:
+        shown = get_running(state) | get_ended(state)
+        for key, call_state in state.call_states.items():
+            if key not in shown:
+                has_news = _check_absence(call_state, poll) or has_news
     update_paces(state.pacing, poll.running, state.details, poll.answered_at_s)
     return has_news
 
@@ -267,7 +270,7 @@
                 state.pacing.sent_percents.pop(call.key, None)
         case StartRun() if call_state is not None:
             call_state.is_in_flight = False
-            _handle_start_answer(call, call_state, answer)
+            _handle_start_answer(state, call, call_state, answer)
             if state.facts is not None:
                 _record_open_start(state, state.facts, call, answer)
         case StopRun() if call_state is not None:
@@ -303,6 +306,7 @@
 
 
 def _handle_start_answer(
+    state: WorkerRunState,
     call: StartRun,
     call_state: RunCallState,
     answer: CallAnswer,
@@ -321,7 +325,7 @@
     elif answer.reason:
         call_state.refusal = answer.reason
         call_state.retry_at_s = answer.answered_at_s
-        if is_settled(call_state):
+        if is_settled(call_state) and lists_all_ends(state):
             call_state.absence_reason = answer.reason
 
 
@@ -477,4 +481,5 @@
         is_accepting(state, worker_info, now_s),
         state.loss,
         list_possibly_started(state, worker_info, now_s),
+        lists_all_ends(state),
     )
--- a/cumintack/coordination/runs/unanswered_calls.py
+++ b/cumintack/coordination/runs/unanswered_calls.py
@@ -18,6 +18,7 @@
     WorkerRunState,
     get_ended,
     get_running,
+    lists_all_ends,
 )
 from cumintack.protocol.run_messages import RunKey, WorkerInfo
 
@@ -211,7 +212,7 @@
         if start.worker_id in {'', worker_info.worker_id}
         and start.cleared_lifetime != worker_info.lifetime
         and (now_s < start.until_s or is_polled)
-        and not _is_start_resolved(state, start, now_s)
+        and not _is_start_past(state, start, now_s)
     ]
 
 
@@ -244,6 +245,16 @@
 ) -> bool:
     """Return whether a start has certainly no effect that is not seen.
 
+    Its run may have ended among the ends that the worker does not list yet.
+    """
+    return lists_all_ends(state) and _is_start_past(state, start, now_s)
+
+
+def _is_start_past(
+    state: WorkerRunState, start: UnansweredStart, now_s: float
+) -> bool:
+    """Return whether a run that a start may have started is not running unseen.
+
     Once it can no longer be carried out, the next poll lists its run; without
     a poll the run has ended when its lease has.
     """
--- a/cumintack/coordination/runs/worker_run_state.py
+++ b/cumintack/coordination/runs/worker_run_state.py
@@ -22,6 +22,8 @@
         lifetime: The incarnation of the worker that answered.
         running: The runs that are running.
         ended: Ended runs that the worker still lists.
+        lists_all_ends: Whether the worker has no other ends that are not
+            acknowledged.
     """
 
     sent_at_s: float
@@ -29,6 +31,7 @@
     lifetime: str
     running: tuple[RunningRun, ...]
     ended: tuple[EndedRun, ...]
+    lists_all_ends: bool = True
 
 
 class StartRun(msgspec.Struct, frozen=True):
@@ -231,6 +234,20 @@
     return {ended.key for ended in poll.ended} if poll else set()
 
 
+def lists_all_ends(state: WorkerRunState) -> bool:
+    """Tell whether a run that the latest poll does not list has no end there.
+
+    Args:
+        state: The state of the runs on the worker.
+
+    Returns:
+        False while the worker has more ends than it lists at a time. The
+        others are listed once the leader has recorded the first ones.
+    """
+    poll = state.latest_poll
+    return poll is None or poll.lists_all_ends
+
+
 def is_lost(state: WorkerRunState) -> bool:
     """Tell whether the worker has not answered since it was lost.
 
--- a/cumintack/daemon/guard_logging.py
+++ b/cumintack/daemon/guard_logging.py
@@ -9,7 +9,7 @@
     WorkerCall,
     WorkerRunState,
 )
-from cumintack.protocol.run_messages import RunKey, WorkerInfo
+from cumintack.protocol.run_messages import RunKey, RunReport, WorkerInfo
 
 # Keeps a line that lists runs within the longest line that is logged.
 MAX_RUNS_PER_LINE = 40
@@ -91,12 +91,48 @@
         for end in poll.ended
         if end.number not in ended
     ]
+    is_cut = previous is not None and not previous.lists_all_ends
+    if poll.lists_all_ends is is_cut:
+        logger.info(
+            'guard: list of ends cut',
+            lifetime=poll.lifetime,
+            is_cut=not poll.lists_all_ends,
+            listed=len(poll.ended),
+        )
     if unconfirmed:
         _log_runs('guard: unconfirmed runs listed', poll, unconfirmed)
     if new_ends:
         _log_runs('guard: ends listed', poll, new_ends)
 
 
+def log_closed_runs(
+    report: RunReport, logged: frozenset[RunKey]
+) -> frozenset[RunKey]:
+    """Log the runs that a report names as absent for the first time.
+
+    Args:
+        report: The report.
+        logged: The runs that the previous report named.
+
+    Returns:
+        The runs that this report names.
+    """
+    closed = frozenset(run.key for run in report.closed)
+    new_reasons = [
+        f'{run.key.task_id}/{run.key.run} {run.reason}'
+        for run in report.closed
+        if run.key not in logged
+    ]
+    if new_reasons:
+        logger.info(
+            'guard: runs absent',
+            lifetime=report.facts.lifetime,
+            runs=new_reasons[:MAX_RUNS_PER_LINE],
+            count=len(new_reasons),
+        )
+    return closed
+
+
 def _is_confirmed(state: WorkerRunState, key: RunKey) -> bool:
     call_state = state.call_states.get(key)
     return call_state is not None and call_state.started_at_s is not None
--- a/cumintack/daemon/workflow_guard_component.py
+++ b/cumintack/daemon/workflow_guard_component.py
@@ -50,13 +50,14 @@
 from cumintack.daemon.auto_reset_event import AutoResetEvent
 from cumintack.daemon.guard_logging import (
     log_call,
+    log_closed_runs,
     log_poll,
     log_unanswered_lease,
 )
 from cumintack.daemon.node import Node
 from cumintack.daemon.settings import WorkflowGuardSettings
 from cumintack.protocol.messages import Message
-from cumintack.protocol.run_messages import RunOrders, WorkerInfo
+from cumintack.protocol.run_messages import RunKey, RunOrders, WorkerInfo
 from cumintack.state.configuration import Configuration
 from cumintack.state.errors import ErrorCode, StepError, format_error
 from cumintack.transport.http_server import HttpHandler, HttpServer
@@ -132,6 +133,7 @@
         '_acknowledged',
         '_queued_calls',
         '_client',
+        '_closed',
         '_lease_sent_until_s',
         '_is_closing',
         '_is_report_withheld',
@@ -162,6 +164,7 @@
         self._next_report_at_s = 0.0
         self._lease_sent_until_s = 0.0
         self._acknowledged = SettledEnds()
+        self._closed: frozenset[RunKey] = frozenset()
         self._is_closing = False
         self._is_worker_lost = False
         self._is_report_withheld = False
@@ -442,6 +445,8 @@
             self._record_worker_loss(outcome.err_value, now_s)
             self._queue_due_calls(now_s)
             return
+        if not outcome.ok_value.lists_all_ends:
+            self._node.metrics.count('guard.list-cut')
         log_poll(self._runs, outcome.ok_value)
         if apply_poll_result(self._runs, outcome.ok_value):
             self._send_report(now_s)
@@ -489,6 +494,7 @@
         self._log_withheld_report(is_withheld=report is None)
         if report is None or not leader:
             return
+        self._closed = log_closed_runs(report, self._closed)
         self._next_report_at_s = (
             now_s + self._settings.report_interval_ms / MS_PER_S
         )
--- a/cumintack/platform/worker_calls.py
+++ b/cumintack/platform/worker_calls.py
@@ -54,6 +54,8 @@
 # answers within a few ms.
 CALL_TIMEOUT_S = 1.0
 MAX_ANSWER_BYTES = 4194304
+# Most ends that a worker lists in one answer.
+MAX_LISTED_ENDS = 500
 # Share by which leases are shortened, because the worker's clock may be up to
 # 2% slow.
 MAX_CLOCK_DRIFT = 0.02
@@ -154,6 +156,7 @@
                 format_incarnation_id(worker_info.worker_id, reply.born_ms),
                 tuple(_iter_running(reply)),
                 tuple(_iter_ended(reply, now_ms)),
+                lists_all_ends=len(reply.ended) < MAX_LISTED_ENDS,
             ),
         )
 
--- a/cumintack/platform/worker_calls_test.py
+++ b/cumintack/platform/worker_calls_test.py
@@ -17,7 +17,10 @@
     INSTANCE,
     FakeWorker,
 )
-from cumintack.platform.worker_calls import PlatformWorkerClient
+from cumintack.platform.worker_calls import (
+    MAX_LISTED_ENDS,
+    PlatformWorkerClient,
+)
 from cumintack.protocol.run_messages import RunDetails, RunKey, WorkerInfo
 from cumintack.state.resources import Resources
 from cumintack.transport.clock import SystemClock
@@ -127,3 +130,20 @@
     poll_result = _poll(client)
     assert [run.key for run in poll_result.running] == [KEY]
     assert [end.number for end in poll_result.ended] == [2]
+
+
+# Guards against runs that count as absent although their end is not listed yet.
+@pytest.mark.parametrize(
+    ('count', 'lists_all_ends'),
+    [(MAX_LISTED_ENDS - 1, True), (MAX_LISTED_ENDS, False)],
+)
+def test_full_list_of_ends_may_leave_out_others(
+    worker: FakeWorker, count: int, *, lists_all_ends: bool
+) -> None:
+    """An invalid row takes up a place in the list, too."""
+    client = PlatformWorkerClient(worker.address, 2, CLOCK)
+    worker.ended = [
+        [number, 't', number, 'done', ''] for number in range(2, count + 1)
+    ]
+    worker.ended.append([count + 1, 't', 1, 'exploded', ''])
+    assert _poll(client).lists_all_ends is lists_all_ends
--- a/cumintack/protocol/run_messages.py
+++ b/cumintack/protocol/run_messages.py
@@ -224,6 +224,8 @@
         possibly_started: Runs meant for earlier incarnations that this one may
             have started since its latest poll; None if the guard cannot name
             them.
+        lists_all_ends: Whether a run that is not listed has no end on the
+            worker either.
     """
 
     sent_at_s: float
@@ -240,6 +242,7 @@
     is_accepting: bool = True
     loss: WorkerLoss | None = None
     possibly_started: tuple[RunKey, ...] | None = None
+    lists_all_ends: bool = True
 
 
 class WorkflowQuery(msgspec.Struct, frozen=True, tag=True):
