A refusal of an operation on workflows holds for its late copies

Cause: an entry sends a proposal again after 0.4 s without an answer, and did so without a session. An accepted copy has no further effect, but a refused one was decided anew: the leader refused the first copy, applied a new configuration, and accepted the second. By the same way a copy of a DELETE that was answered 410 cancelled a workflow accepted in between.

Evidence: in the log of the case the leader writes "refused" at version 2 and "accepted" at version 3 for one workflow, 4 ms apart, at different entries of the log. The new line "control: copy ignored" names the session, the number and the first entry.

A new attempt of the caller has another number and is decided anew.

--- a/cumintack/daemon/control_component.py
+++ b/cumintack/daemon/control_component.py
@@ -595,6 +595,13 @@
         )
         leadership = self._leadership
         if leadership is not None:
+            if outcome.index < self._tables.applied_index:
+                logger.info(
+                    'control: copy ignored',
+                    session=command.session,
+                    sequence=command.sequence,
+                    first_index=outcome.index,
+                )
             effects = handle_applied_operation(
                 leadership, self._tables, command.operation, outcome
             )
--- a/cumintack/daemon/workflow_entry_component.py
+++ b/cumintack/daemon/workflow_entry_component.py
@@ -4,6 +4,7 @@
 methods of ``WorkflowGateway``, which block the calling thread.
 """
 
+import itertools
 from typing import Protocol
 
 import structlog
@@ -79,11 +80,13 @@
 class LeaderGateway:
     """Gateway that calls the leader over the links of a process."""
 
-    __slots__ = ('_is_stopping', '_node')
+    __slots__ = ('_is_stopping', '_node', '_sequence')
 
     def __init__(self, node: Node) -> None:
         """Use the links of a process."""
         self._node = node
+        # Threads of the server share it.
+        self._sequence = itertools.count(1)
         self._is_stopping = False
 
     def submit(
@@ -93,11 +96,15 @@
     ) -> StepError | None:
         """Commit an operation.
 
+        The call is resent until it is answered. All copies carry one sequence
+        number, so that a refusal holds for those that are still under way.
+
         Returns:
             The error, if any; with code timeout the outcome is unknown.
         """
         name = self._node.settings.name
-        command = Command('', 0, name, 0, operation)
+        session = f'{name}.{self._node.incarnation}'
+        command = Command(session, next(self._sequence), name, 0, operation)
         started_at_s = self._node.clock.now_s()
         reply = call_leader(
             self._node,
--- a/cumintack/state/commands.py
+++ b/cumintack/state/commands.py
@@ -125,8 +125,8 @@
     """An operation with the keys for deduplicating it.
 
     Attributes:
-        session: The session of the sender; empty for an operation that is
-            idempotent.
+        session: The session of the sender; empty for an operation of which no
+            copies are sent.
         sequence: Number within the session, starting at 1.
         author: Who requested it, for display.
         proposed_at_ms: Wall time at the leader, in ms since 1970.
--- a/cumintack/state/machine.py
+++ b/cumintack/state/machine.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from cumintack.state import _claim_transitions, _job_transitions
+from cumintack.state._refusals import find_refusal, record_refusal
 from cumintack.state._workflow_transitions import (
     apply_workflow_operation,
     rebuild_index,
@@ -44,6 +45,8 @@
     RecordRuns,
     ReplaceQueues,
     WorkflowIndex,
+    WorkflowOperation,
+    WorkflowTables,
 )
 
 MAX_OUTCOMES_PER_SESSION = 64
@@ -72,7 +75,8 @@
         if recorded is not None:
             return recorded
     outcome = _apply_operation(tables, index, command)
-    if command.session:
+    is_workflow = isinstance(command.operation, WorkflowOperation)
+    if command.session and not is_workflow:
         _record_outcome(tables, command, outcome)
     return outcome
 
@@ -163,12 +167,29 @@
             | RecordRuns()
             | ReplaceQueues()
         ):
-            error = apply_workflow_operation(
-                tables.workflows,
-                operation,
-                command.proposed_at_ms,
+            return _apply_workflow_command(
+                tables.workflows, index, command, operation
             )
-            return Outcome(index, error)
+
+
+def _apply_workflow_command(
+    tables: WorkflowTables,
+    index: int,
+    command: Command,
+    operation: WorkflowOperation,
+) -> Outcome:
+    """Apply an operation on workflows unless a copy of it was refused.
+
+    It takes effect once however often it is applied, so that only its refusal
+    is recorded.
+    """
+    refusal = find_refusal(tables, command)
+    if refusal is not None:
+        return Outcome(refusal.index, refusal.error)
+    error = apply_workflow_operation(tables, operation, command.proposed_at_ms)
+    if error is not None:
+        record_refusal(tables, command, index, error)
+    return Outcome(index, error)
 
 
 def _set_configuration(
--- a/cumintack/state/workflows.py
+++ b/cumintack/state/workflows.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from cumintack.state.errors import StepError
 from cumintack.state.queues import Queue, QueueConfiguration
 from cumintack.state.resources import Resources
 
@@ -309,6 +310,21 @@
     unbegun: dict[str, int] = {}
 
 
+class Refusal(msgspec.Struct, frozen=True):
+    """Refusal of a command of which copies may be under way.
+
+    Attributes:
+        index: Index of the log entry that was refused.
+        refused_at_ms: Wall time at which the leader proposed the command, in
+            ms since 1970.
+        error: Why it was refused.
+    """
+
+    index: int
+    refused_at_ms: int
+    error: StepError
+
+
 class WorkflowTables(msgspec.Struct):
     """All workflows and the configuration of their queues.
 
@@ -316,11 +332,13 @@
         configuration: The queues in force.
         workflows: Workflows by identifier, oldest first.
         index: Indexes derived from the workflows.
+        refusals: Latest refused commands by session and sequence, oldest first.
     """
 
     configuration: QueueConfiguration = QueueConfiguration()
     workflows: dict[str, WorkflowRecord] = {}
     index: WorkflowIndex = msgspec.field(default_factory=WorkflowIndex)
+    refusals: dict[str, Refusal] = {}
 
 
 def format_task_id(key: TaskKey) -> str:
