A suspect is kept off crashed workers only in favour of others that suit it

Cause: a suspect avoided the workers that had crashed under it while any available worker of the pool had not, also those without its label or too small for it.

Why the fix works: only workers that suit the suspect count as others. If they stay full, the crashed worker is used once its new incarnation has been up for 2 s, so that a worker that flaps is not blamed on the suspect. A suspect that must wait no longer holds up the others of its step.

--- a/cumintack/coordination/runs/crash_isolation_test.py
+++ b/cumintack/coordination/runs/crash_isolation_test.py
@@ -11,6 +11,7 @@
 
 from cumintack.coordination.effects import ProposeAsLeader, Send
 from cumintack.coordination.runs.crash_isolation import assess_crash
+from cumintack.coordination.runs.placement import MIN_UPTIME_S
 from cumintack.coordination.runs.run_leadership import (
     RunLeadership,
     RunSettings,
@@ -72,6 +73,7 @@
         self.ended: dict[RunKey, EndedRun] = {}
         self.loss: WorkerLoss | None = None
         self.last_report: RunReport | None = None
+        self.labels: tuple[str, ...] = ()
 
     def get_lifetime(self) -> str:
         """Return the current incarnation."""
@@ -148,7 +150,7 @@
                 'pool',
                 'north-yard',
                 Resources(WORKER_CORES * 1000, 128000),
-                (),
+                self.labels,
             ),
             self._list_running(now_s),
             tuple(self.ended.values()),
@@ -418,3 +420,47 @@
         WorkflowStatus.failed
     }
     assert max(map(cluster.get_run_count, crashing)) <= 5
+
+
+# Guards against a suspect that waits for good for workers that cannot run it.
+def test_suspect_starts_again_on_the_only_worker_with_its_label() -> None:
+    """Workers without the label do not count as untried."""
+    cluster = Cluster()
+    labelled = cluster.workers['10.0.0.0']
+    labelled.labels = ('b',)
+    cluster.run(1)
+    workflow_id = cluster.submit(msgspec.structs.replace(TASK, label='b'))
+    cluster.run(2 * STEP_S)
+    labelled.end_incarnation(cluster.now_s, is_crash=True)
+    cluster.run(DOWN_S + 2 * STEP_S)
+    assert cluster.get_task(workflow_id).crashed_on == (labelled.guard,)
+    assert cluster.get_task(workflow_id).guard == labelled.guard
+    cluster.run(RUN_S + 1)
+    assert cluster.get_status(workflow_id) is WorkflowStatus.completed
+
+
+# Guards against a suspect that waits for good for a worker that stays full.
+def test_suspect_waits_a_moment_for_room_elsewhere() -> None:
+    """Then the worker that crashed under it has been up for long enough."""
+    cluster = Cluster()
+    first, other = list(cluster.workers.values())[:2]
+    first.labels = ('b',)
+    other.labels = ('b', 'full')
+    cluster.run(1)
+    cluster.submit(
+        StepSpec(
+            1,
+            Resources(WORKER_CORES * 1000, 100),
+            4000,
+            label='full',
+            is_long_running=True,
+        )
+    )
+    cluster.run(1)
+    workflow_id = cluster.submit(msgspec.structs.replace(TASK, label='b'))
+    cluster.run(2 * STEP_S)
+    first.end_incarnation(cluster.now_s, is_crash=True)
+    cluster.run(DOWN_S + MIN_UPTIME_S / 2)
+    assert not cluster.get_task(workflow_id).guard
+    cluster.run(MIN_UPTIME_S / 2 + 3 * STEP_S)
+    assert cluster.get_task(workflow_id).guard == first.guard
--- a/cumintack/coordination/runs/placement.py
+++ b/cumintack/coordination/runs/placement.py
@@ -67,6 +67,9 @@
 # Share of its full speed below which a best-effort task waits for free capacity
 # instead: with less it would be late wherever it started.
 MIN_SPEED = 0.4
+# Seconds without a crash after which a worker that crashed under a suspect is
+# unlikely to crash by itself.
+MIN_UPTIME_S = 2.0
 
 
 class Objection(enum.IntEnum):
@@ -247,9 +250,10 @@
             scheduling_pass, available, request
         )
         chosen = choose_isolated_worker(candidates, key.workflow_id, now_s)
-        if chosen is None:
-            return
-        _record_start(scheduling_pass, request, chosen, request.record.run + 1)
+        if chosen is not None:
+            _record_start(
+                scheduling_pass, request, chosen, request.record.run + 1
+            )
 
 
 def _list_isolation_candidates(
@@ -259,27 +263,49 @@
 ) -> list[IsolationCandidate]:
     """List the workers that can run a suspect.
 
-    A worker that crashed under it may crash by itself, so that it is used only
-    if there is no other.
+    A worker that crashed under it may crash by itself. It is used only if no
+    other suits the suspect, or if the others are full and it has been up for a
+    while.
     """
     index = scheduling_pass.index
+    considered = [
+        view
+        for view in list_workers_for_suspect(
+            available, request.key.step_key.workflow_id
+        )
+        if _can_run_suspect(scheduling_pass, view, request)
+    ]
     crashed_on = request.record.crashed_on
-    considered = list_workers_for_suspect(
-        available, request.key.step_key.workflow_id
-    )
-    is_any_untried = any(view.guard not in crashed_on for view in available)
+    untried = [view for view in considered if view.guard not in crashed_on]
+    if not untried and _is_any_untried(scheduling_pass, available, request):
+        considered = [
+            view
+            for view in considered
+            if scheduling_pass.now_s >= view.up_since_s + MIN_UPTIME_S
+        ]
     return [
         IsolationCandidate(
             view,
             get_placed_runs(index, scheduling_pass.tables, view.guard),
             index.proposed.get(view.guard, {}),
         )
-        for view in considered
-        if not (is_any_untried and view.guard in crashed_on)
-        and _can_run_suspect(scheduling_pass, view, request)
+        for view in untried or considered
     ]
 
 
+def _is_any_untried(
+    scheduling_pass: SchedulingPass,
+    available: list[WorkerView],
+    request: TaskRequest,
+) -> bool:
+    """Return whether a worker that suits a suspect has not crashed under it."""
+    return any(
+        view.guard not in request.record.crashed_on
+        and _suits(scheduling_pass, view, request)
+        for view in available
+    )
+
+
 def _can_run_suspect(
     scheduling_pass: SchedulingPass, view: WorkerView, request: TaskRequest
 ) -> bool:
@@ -409,7 +435,8 @@
     suitable = [
         view
         for view in scheduling_pass.views.values()
-        if _suits(scheduling_pass, view, request)
+        if is_schedulable(view, scheduling_pass.now_s)
+        and _suits(scheduling_pass, view, request)
     ]
     objections = {
         view.guard: _assess_worker(view, request.record, scheduling_pass.now_s)
@@ -434,8 +461,6 @@
     scheduling_pass: SchedulingPass, view: WorkerView, request: TaskRequest
 ) -> bool:
     """Return whether a worker can run a task once it has room for it."""
-    if not is_schedulable(view, scheduling_pass.now_s):
-        return False
     if not _is_eligible(view, request.kind):
         return False
     if not fits_within(get_reserved_resources(request.step), view.facts.holds):
--- a/cumintack/coordination/runs/run_leadership.py
+++ b/cumintack/coordination/runs/run_leadership.py
@@ -219,6 +219,7 @@
             report.facts,
             now_s,
             report.sent_at_s,
+            up_since_s=now_s,
             accepts_from_s=_get_acceptance_time(view, report, now_s),
             earlier_running=_list_earlier_running(
                 view, get_placed_runs(leadership.index, tables, guard)
--- a/cumintack/coordination/runs/worker_views.py
+++ b/cumintack/coordination/runs/worker_views.py
@@ -92,6 +92,7 @@
         facts: The worker info.
         last_report_at_s: When the latest report arrived.
         sent_at_s: Time of the guard's clock in the latest report.
+        up_since_s: When the first report of this incarnation arrived.
         granted_until_s: Latest end of the leases granted to it.
         unsure_for_s: How long after the report unanswered calls may still
             take effect.
@@ -122,6 +123,7 @@
     facts: WorkerInfo
     last_report_at_s: float
     sent_at_s: float
+    up_since_s: float = float('-inf')
     granted_until_s: float = float('-inf')
     unsure_for_s: float = 0
     is_usable: bool = False
