Hidden ends of a worker that has left keep no start open

What an operator would have seen: after a worker had left with ends beyond its list and a start without an answer, its guard withheld its reports until the next worker announced itself, so that the leader counted the guard as silent. Found by reading; nobody met it.

Cause: a start stayed unresolved while the latest poll left out ends, and no later poll comes from an incarnation that is gone.

Why the fix works: the ends of such an incarnation are never listed, so that the last moment of the start and its lease decide alone, as before.

The test failed before the fix (no report).

--- a/cumintack/coordination/runs/unanswered_calls.py
+++ b/cumintack/coordination/runs/unanswered_calls.py
@@ -245,9 +245,11 @@
 ) -> bool:
     """Return whether a start has certainly no effect that is not seen.
 
-    Its run may have ended among the ends that the worker does not list yet.
+    Its run may have ended among the ends that the worker does not list yet. A
+    worker that has left never lists them.
     """
-    return lists_all_ends(state) and _is_start_past(state, start, now_s)
+    is_any_end_hidden = not lists_all_ends(state) and not state.is_gone
+    return not is_any_end_hidden and _is_start_past(state, start, now_s)
 
 
 def _is_start_past(
--- a/cumintack/coordination/runs/unanswered_calls_test.py
+++ b/cumintack/coordination/runs/unanswered_calls_test.py
@@ -499,3 +499,18 @@
     _answer(state, _take_call(state, 1, StartRun), 2, is_answered=False)
     record_worker_info(state, OTHER, 3)
     assert _report(state, 3).possibly_started == ()
+
+
+# Guards against reports that are withheld for good once the worker has left.
+def test_hidden_ends_of_a_gone_incarnation_keep_no_start_open() -> None:
+    """Nobody will list them any more."""
+    state = _create_state()
+    _order(state, 1, 1, (KEY,))
+    _poll(state, 1)
+    _answer(state, _take_call(state, 1, StartRun), 2, is_answered=False)
+    cut = PollResult(3, 3, FIRST.lifetime, (), (), lists_all_ends=False)
+    apply_poll_result(state, cut)
+    apply_poll_result(state, PollResult(4, 4, SECOND.lifetime, (), ()))
+    assert create_report(state, 5) is None
+    over_s = 2 + MAX_CALL_DELAY_S + MAX_LEASE_S
+    assert _report(state, over_s + 0.1).is_gone
