--- a/cumintack/daemon/workflow_guard_component.py
+++ b/cumintack/daemon/workflow_guard_component.py
@@ -506,9 +506,10 @@
         if worker_info is None or is_withheld is self._is_report_withheld:
             return
         self._is_report_withheld = is_withheld
-        event = 'withheld' if is_withheld else 'sent again'
         logger.info(
-            f'guard: reports {event}',
+            'guard: reports withheld'
+            if is_withheld
+            else 'guard: reports sent again',
             lifetime=worker_info.lifetime,
             unanswered_starts=len(self._runs.unanswered_starts),
         )
