Suspects with one history are rated once in a pass

The loop over the suspects of a step goes on past one that must wait since, and rated all workers anew for each. Suspects that the same workers crashed under have the same answer, so that it is found once for a step. No figure was taken; found by reading.

--- a/cumintack/coordination/runs/placement.py
+++ b/cumintack/coordination/runs/placement.py
@@ -243,14 +243,21 @@
         if view.facts.pool == kind.pool and is_available(view, now_s)
     ]
     waiting = scheduling_pass.tables.index.waiting[key]
+    # Workers that crashed under suspects which cannot be placed now. Others
+    # with the same history cannot be placed either.
+    blocked_histories: set[tuple[str, ...]] = set()
     for request in _iter_task_requests(
         scheduling_pass, key, step, kind, waiting.suspects
     ):
+        if request.record.crashed_on in blocked_histories:
+            continue
         candidates = _list_isolation_candidates(
             scheduling_pass, available, request
         )
         chosen = choose_isolated_worker(candidates, key.workflow_id, now_s)
-        if chosen is not None:
+        if chosen is None:
+            blocked_histories.add(request.record.crashed_on)
+        else:
             _record_start(
                 scheduling_pass, request, chosen, request.record.run + 1
             )
