--- a/cumintack/coordination/runs/due_calls.py
+++ b/cumintack/coordination/runs/due_calls.py
@@ -83,10 +83,14 @@
     current = state.facts
     if current is None or current.lifetime != worker_info.lifetime:
         return False
+    if call.token != state.token:
+        # The worker may have seen the current one, and would refuse this call.
+        return False
     match call:
-        case StartRun(key=key, term=term):
+        case StartRun(key=key):
             is_refused = current.is_draining or state.is_gone
-            return key in state.wanted and term == state.term and not is_refused
+            is_listed = key in get_running(state)
+            return key in state.wanted and not is_refused and not is_listed
         case PaceRun(key=key):
             return key in state.wanted
         case StopRun(key=key):
@@ -155,7 +159,7 @@
     for key, percent in paces.items():
         if key in state.wanted:
             state.pacing.sent_percents[key] = percent
-            calls.append(PaceRun(key, percent, state.term))
+            calls.append(PaceRun(key, percent, state.token))
     return calls
 
 
@@ -182,7 +186,7 @@
         return
     call_state.is_in_flight = True
     call_state.is_start = False
-    calls.append(StopRun(key, state.term))
+    calls.append(StopRun(key, state.token))
 
 
 def _add_start(
@@ -213,5 +217,5 @@
         state.latest_lease_end_s, state.lease_granted_until_s
     )
     calls.append(
-        StartRun(key, details, state.term, state.lease_granted_until_s)
+        StartRun(key, details, state.token, state.lease_granted_until_s)
     )
--- a/cumintack/coordination/runs/due_calls_test.py
+++ b/cumintack/coordination/runs/due_calls_test.py
@@ -15,6 +15,7 @@
     record_worker_info,
 )
 from cumintack.coordination.runs.worker_run_state import (
+    FencingToken,
     PollResult,
     StartRun,
     StopRun,
@@ -73,7 +74,7 @@
     _order(state, 2)
     assert not is_call_due(state, WORKER, start)
     withdraw_call(state, WORKER, start)
-    assert list_due_calls(state, 3) == [StopRun(KEY, 1)]
+    assert list_due_calls(state, 3) == [StopRun(KEY, FencingToken(1))]
 
 
 # Guards against a start that is made seconds after its worker began to drain.
@@ -112,7 +113,7 @@
     withdraw_call(state, WORKER, start)
     again = list_due_calls(state, 3)[0]
     assert isinstance(again, StartRun)
-    assert again.term == 2
+    assert again.token.term == 2
 
 
 @pytest.mark.parametrize('worker_info', [WORKER, DRAINING])
--- a/cumintack/coordination/runs/fake_guard_test.py
+++ b/cumintack/coordination/runs/fake_guard_test.py
@@ -41,6 +41,7 @@
 )
 from cumintack.coordination.runs.worker_run_state import (
     CallAnswer,
+    FencingToken,
     PaceRun,
     PollResult,
     SettledEnds,
@@ -223,7 +224,7 @@
 
     def _encode(self, worker_info: WorkerInfo, call: WorkerCall) -> CallRequest:
         request = CallRequest(
-            'pace', worker_info.worker_id, call.term, call.key
+            'pace', worker_info.worker_id, call.token, call.key
         )
         match call:
             case StartRun():
@@ -318,6 +319,9 @@
         wait_s = POLL_WAIT_S
         if state.latest_poll is None or not is_busy:
             wait_s = 0
+        token = state.token
+        if state.fence is None or state.fence.token < token:
+            wait_s = 0
         number = get_number_to_acknowledge(state, worker_info)
         settled = SettledEnds(worker_info.lifetime, number)
         is_acknowledging = bool(number) and settled != self._acknowledged
@@ -326,11 +330,13 @@
             wait_s = 0
             self._after(
                 0,
-                lambda: record_acknowledgement(state, worker_info, sent_at_s),
+                lambda: record_acknowledgement(
+                    state, worker_info, token, sent_at_s
+                ),
             )
 
         def finish(reply: CallReply | None) -> None:  # noqa: WPS430
-            poll = self._post_poll(reply, sent_at_s)
+            poll = self._post_poll(reply, token, sent_at_s)
             if poll is None:
                 now_s = self._world.read_clock_s()
                 self._after(
@@ -356,7 +362,7 @@
         request = CallRequest(
             'hold',
             worker_info.worker_id,
-            state.term,
+            token,
             settled_number=number if is_acknowledging else 0,
             wait_s=wait_s,
         )
@@ -371,29 +377,32 @@
             return
         sent_at_s = self._world.read_clock_s()
         lifetime = worker_info.lifetime
+        token = self.state.token
 
         def finish(reply: CallReply | None) -> None:  # noqa: WPS430
-            poll = self._post_poll(reply, sent_at_s)
+            poll = self._post_poll(reply, token, sent_at_s)
             if poll is not None and poll.lifetime == lifetime:
                 self._lease_sent_until_s = until_s
             else:
                 now_s = self._world.read_clock_s()
                 self._after(
                     0,
-                    lambda: record_unanswered_lease(self.state, until_s, now_s),
+                    lambda: record_unanswered_lease(
+                        self.state, until_s, now_s, token
+                    ),
                 )
             self._pause_polls(pause_s)
 
         request = CallRequest(
             'hold',
             worker_info.worker_id,
-            self.state.term,
+            token,
             deadline_ms=self._convert(until_s),
         )
         self._send(request, CALL_TIMEOUT_S, finish)
 
     def _post_poll(
-        self, reply: CallReply | None, sent_at_s: float
+        self, reply: CallReply | None, token: FencingToken, sent_at_s: float
     ) -> PollResult | None:
         poll = None
         if reply is not None and reply.status == 200:
@@ -406,6 +415,7 @@
                 reply.running,
                 reply.ended,
                 reply.lists_all_ends,
+                token,
             )
         self._after(self._get_step_delay_s(), lambda: self._handle_poll(poll))
         return poll
--- a/cumintack/coordination/runs/fake_worker_fleet_test.py
+++ b/cumintack/coordination/runs/fake_worker_fleet_test.py
@@ -8,6 +8,10 @@
 
 import msgspec
 
+from cumintack.coordination.runs.worker_run_state import (
+    INHERITED_TOKEN,
+    FencingToken,
+)
 from cumintack.protocol.run_messages import (
     EndedRun,
     RunDetails,
@@ -36,7 +40,7 @@
 
     kind: str
     worker_id: str
-    token: int
+    token: FencingToken
     key: RunKey | None = None
     details: RunDetails | None = None
     deadline_ms: int = 0
@@ -96,7 +100,7 @@
     runs: dict[RunKey, FakeRun] = {}
     ended: list[EndedRun] = []
     end_count: int = 0
-    token: int = 0
+    token: FencingToken = INHERITED_TOKEN
     closed_runs: dict[str, int] = {}
     lease_until_ms: float = 0
     is_up: bool = True
--- a/cumintack/coordination/runs/run_leadership.py
+++ b/cumintack/coordination/runs/run_leadership.py
@@ -134,6 +134,7 @@
         leading_since_s: When this leader began to lead.
         views: The workers, by name of their guard.
         orders_number: Number of the latest orders in this term.
+        fence_count: Number of the latest fence given to a guard in this term.
         proposed_ends: Guards of the runs whose end is proposed and not applied
             yet.
         proposed_starts: Starts proposed and not applied yet, by task.
@@ -163,6 +164,7 @@
     leading_since_s: float
     views: dict[str, WorkerView] = {}
     orders_number: int = 0
+    fence_count: int = 0
     proposed_ends: dict[RunKey, str] = {}
     proposed_starts: dict[str, RunStart] = {}
     unrecorded_workflows: dict[str, None] = {}
@@ -226,8 +228,12 @@
             ),
         )
         leadership.views[guard] = view
+    if report.needs_fence or not view.fence:
+        leadership.fence_count += 1
+        view.fence = leadership.fence_count
     _update_view(view, report, now_s)
     _record_late_calls(leadership, report, now_s)
+    _record_started_runs(placed_runs, view)
     mark_changed(leadership.index, guard)
     _find_begun_workflows(leadership, tables, placed_runs, view)
     update_isolation(view, placed_runs, now_s)
@@ -292,6 +298,8 @@
         and not _is_disconnected(report)
     )
     view.is_guard_restarted = report.is_restarted
+    if report.is_fenced:
+        view.accepts_from_s = float('-inf')
     view.running = {run.key: run for run in report.running}
     view.runs_with_details = {
         run.key for run in report.running if run.has_details
@@ -299,6 +307,18 @@
     view.ended = report.ended
 
 
+def _record_started_runs(placed_runs: PlacedRuns, view: WorkerView) -> None:
+    """Record when each run was first listed, also while a poll is missing."""
+    started_by_s = {}
+    for placed in placed_runs.values():
+        key = placed.key
+        if key in view.running and view.running[key].is_start_settled:
+            started_by_s[key] = float('-inf')
+        elif key in view.running or key in view.started_by_s:
+            started_by_s[key] = view.started_by_s.get(key, view.sent_at_s)
+    view.started_by_s = started_by_s
+
+
 def _find_begun_workflows(
     leadership: RunLeadership,
     tables: WorkflowTables,
@@ -689,10 +709,13 @@
     After a restart of a worker or of a guard the guard assumes a lease that
     nobody else knows of; only an unanswered call adds its delay to a lease.
     """
+    late_for_s = report.late_calls_for_s
     is_observed = not report.is_restarted
     if is_observed and report.unsure_for_s > MAX_CALL_DELAY_S:
+        late_for_s = max(late_for_s, report.unsure_for_s)
+    if late_for_s:
         leadership.late_calls_until_s = max(
-            leadership.late_calls_until_s, now_s + report.unsure_for_s
+            leadership.late_calls_until_s, now_s + late_for_s
         )
 
 
--- a/cumintack/coordination/runs/run_orders.py
+++ b/cumintack/coordination/runs/run_orders.py
@@ -10,6 +10,7 @@
 )
 from cumintack.coordination.runs.colocation import list_learned_weights
 from cumintack.coordination.runs.interference_model import InterferenceModel
+from cumintack.coordination.runs.unanswered_calls import MAX_CALL_DELAY_S
 from cumintack.coordination.runs.worker_views import (
     PlacedRun,
     PlacedRuns,
@@ -30,6 +31,11 @@
 )
 
 
+# Seconds after a run was first listed within which a start of it may be carried
+# out; the last one may have been on its way to a thread that makes it.
+START_DELAY_S = MAX_CALL_DELAY_S + 1
+
+
 class OrderContext(msgspec.Struct, frozen=True):
     """State of the leader from which orders are created.
 
@@ -88,11 +94,11 @@
         is_ending = key in context.stop_reasons or key in context.proposed_ends
         if not is_active or is_ending:
             stops.append(key)
-        elif key in view.runs_with_details:
-            wanted.append(RunOrder(key))
         else:
-            details = _create_details(context, tables, placed)
-            wanted.append(RunOrder(key, details))
+            details = None
+            if key not in view.runs_with_details:
+                details = _create_details(context, tables, placed)
+            wanted.append(RunOrder(key, details, _is_start_past(view, key)))
     return RunOrders(
         context.term,
         context.orders_number,
@@ -104,9 +110,19 @@
         tuple(stops),
         list_learned_weights(placed_runs, context.interference),
         tuple(earlier) if view.is_guard_restarted else (),
+        view.fence,
     )
 
 
+def _is_start_past(view: WorkerView, key: RunKey) -> bool:
+    """Return whether no start of a run can still be carried out.
+
+    A guard makes no start of a run that its worker has listed.
+    """
+    started_by_s = view.started_by_s.get(key, float('inf'))
+    return view.sent_at_s > started_by_s + START_DELAY_S
+
+
 def _create_details(
     context: OrderContext,
     tables: WorkflowTables,
--- a/cumintack/coordination/runs/run_overlap_test.py
+++ b/cumintack/coordination/runs/run_overlap_test.py
@@ -90,7 +90,7 @@
     """Have the guard that gets no task report a call without an answer."""
     state = platform.guards[SECOND_GUARD].state
     now_s = platform.read_clock_s()
-    record_unanswered_lease(state, now_s + LEASE_S, now_s)
+    record_unanswered_lease(state, now_s + LEASE_S, now_s, state.token)
     platform.run_until(now_s + 1)
 
 
--- a/cumintack/coordination/runs/run_reconciliation.py
+++ b/cumintack/coordination/runs/run_reconciliation.py
@@ -9,6 +9,11 @@
 
 import msgspec
 
+from cumintack.coordination.runs.fencing import (
+    adopt_fence,
+    is_fenced,
+    record_fence,
+)
 from cumintack.coordination.runs.pacing import (
     PacingState,
     record_weights,
@@ -44,6 +49,7 @@
     StartRun,
     StopRun,
     UnansweredStart,
+    UncertainLease,
     WorkerCall,
     WorkerRunState,
     get_ended,
@@ -56,6 +62,7 @@
     LEASE_EXPIRED,
     ClosedRun,
     EndedRun,
+    RunKey,
     RunningRun,
     RunOrders,
     RunReport,
@@ -98,7 +105,8 @@
             else:
                 # An unanswered call names the worker identifier, so it has no
                 # effect on a worker with another one.
-                state.uncertain_until_s = float('-inf')
+                state.uncertain_lease = UncertainLease()
+                state.late_calls_until_s = float('-inf')
         _reset_for_new_incarnation(state, now_s)
         return True
     has_drain_changed = previous.is_draining != worker_info.is_draining
@@ -107,6 +115,7 @@
 
 def _reset_for_new_incarnation(state: WorkerRunState, now_s: float) -> None:
     state.is_gone = False
+    state.needs_fence = True
     state.last_answer_at_s = now_s
     state.settled = SettledEnds()
     state.orders_number = 0
@@ -157,6 +166,7 @@
         # They answer the previous process of this guard.
         return False
     is_first_of_term = orders.term != state.term
+    adopt_fence(state, orders)
     state.term = orders.term
     state.orders_number = orders.number
     state.lease_granted_until_s = max(
@@ -173,7 +183,7 @@
             state.details.setdefault(order.key, order.details)
     if is_restarted(state, now_s):
         if is_first_of_term:
-            record_inherited_runs(state, state.facts)
+            record_inherited_runs(state, state.facts, orders.wanted)
         record_earlier_runs(state, orders.earlier)
     _prune_unreferenced_runs(state)
     return True
@@ -208,6 +218,7 @@
         return False
     state.last_answer_at_s = poll.answered_at_s
     state.latest_poll = poll
+    record_fence(state, poll)
     has_news = previous is None or previous.ended != poll.ended
     if is_lost(state):
         clear_worker_loss(state, poll.lifetime)
@@ -297,11 +308,14 @@
         record_unseen_starts(state, worker_info, answer.answered_at_s)
     if answer.is_answered or not answer.is_sent:
         return
-    record_unanswered_lease(state, call.lease_until_s, answer.answered_at_s)
+    record_unanswered_lease(
+        state, call.lease_until_s, answer.answered_at_s, call.token, 'start'
+    )
     state.unanswered_starts[call.key] = UnansweredStart(
         worker_info.worker_id,
         answer.answered_at_s + MAX_CALL_DELAY_S,
         worker_info.lifetime,
+        token=call.token,
     )
 
 
@@ -330,7 +344,7 @@
 
 
 def get_uncertain_until(state: WorkerRunState) -> float:
-    """Get until when unanswered starts may take effect.
+    """Get until when unanswered calls may keep a run on the worker.
 
     Args:
         state: The state of the runs on the worker.
@@ -338,13 +352,9 @@
     Returns:
         The time of the guard's clock, minus infinity if there are none.
     """
-    return max(
-        (
-            call_state.uncertain_until_s
-            for call_state in state.call_states.values()
-        ),
-        default=float('-inf'),
-    )
+    keys = set(state.call_states) | set(state.unanswered_starts)
+    late_start_ends_s = [_get_late_start_end(state, key) for key in keys]
+    return max((state.uncertain_lease.until_s, *late_start_ends_s))
 
 
 def get_lease_to_send(
@@ -395,30 +405,73 @@
         now_s: Current time of the monotonic clock, in seconds.
 
     Returns:
-        Whether none of the runs started on it can still be running.
+        Whether none of the runs started on it can still be running, but for
+        those of which a start without an answer may be carried out yet.
     """
     is_silent = now_s - state.last_answer_at_s > SILENCE_TIMEOUT_S
     if any(
         call_state.is_in_flight for call_state in state.call_states.values()
     ):
         return False
-    uncertain_bound_s = max(get_uncertain_until(state), state.uncertain_until_s)
-    latest_lease_end_s = (
-        max(state.latest_lease_end_s, uncertain_bound_s) + LEASE_END_MARGIN_S
+    return is_silent and now_s > find_longest_hold(state).until_s
+
+
+def find_longest_hold(state: WorkerRunState) -> UncertainLease:
+    """Find what keeps the runs of a silent worker from counting as over.
+
+    Args:
+        state: The state of the runs on the worker.
+
+    Returns:
+        The lease that may last longest, until a time of the guard's clock.
+    """
+    lease = UncertainLease(state.latest_lease_end_s, cause='lease')
+    if state.uncertain_lease.until_s > lease.until_s:
+        lease = state.uncertain_lease
+    return msgspec.structs.replace(
+        lease, until_s=lease.until_s + LEASE_END_MARGIN_S
     )
-    return is_silent and now_s > latest_lease_end_s
 
 
-def _close_expired_runs(state: WorkerRunState) -> None:
-    """Mark every ordered run as absent; runs ordered later may still start."""
+def _close_expired_runs(state: WorkerRunState, now_s: float) -> None:
+    """Mark the ordered runs as absent; runs ordered later may still start."""
     ended = get_ended(state)
+    is_any_held = False
     for key in (*state.wanted, *state.stops):
-        if key not in ended:
+        if now_s <= _get_late_start_end(state, key) + LEASE_END_MARGIN_S:
+            is_any_held = True
+        elif key not in ended:
             call_state = state.call_states.setdefault(key, RunCallState())
             call_state.absence_reason = (
                 call_state.absence_reason or LEASE_EXPIRED
             )
-    state.latest_poll = None
+    if not is_any_held:
+        state.latest_poll = None
+
+
+def _is_start_settled(state: WorkerRunState, key: RunKey) -> bool:
+    call_state = state.call_states.get(key)
+    if call_state is None or call_state.started_at_s is None:
+        return False
+    is_repeated = call_state.is_in_flight and call_state.is_start
+    return not is_repeated and key not in state.unanswered_starts
+
+
+def _get_late_start_end(state: WorkerRunState, key: RunKey) -> float:
+    """Return until when a run may last that an unanswered start starts yet.
+
+    The worker may have crashed and started again unseen. It then knows neither
+    a fence nor that the run was stopped, and late extensions prolong its lease.
+    """
+    call_state = state.call_states.get(key, RunCallState())
+    start = state.unanswered_starts.get(key)
+    if start is None:
+        return call_state.uncertain_until_s
+    return max(
+        call_state.uncertain_until_s,
+        start.until_s + state.max_lease_s,
+        state.late_leases_until_s,
+    )
 
 
 def create_report(state: WorkerRunState, now_s: float) -> RunReport | None:
@@ -440,7 +493,7 @@
     if state.is_gone and has_unanswered_start(state, worker_info):
         return None
     if not state.is_gone and is_every_lease_expired(state, now_s):
-        _close_expired_runs(state)
+        _close_expired_runs(state, now_s)
     poll = state.latest_poll
     running: tuple[RunningRun, ...] = ()
     ended: tuple[EndedRun, ...] = ()
@@ -450,6 +503,7 @@
                 run,
                 has_details=run.key in state.details,
                 has_outlived_start=has_outlived_start(state, run.key, now_s),
+                is_start_settled=_is_start_settled(state, run.key),
             )
             for run in poll.running
         )
@@ -472,14 +526,13 @@
         poll is not None,
         now_s - state.last_answer_at_s <= SILENCE_TIMEOUT_S,
         state.is_gone,
-        max(
-            0,
-            get_uncertain_until(state) - now_s,
-            state.uncertain_until_s - now_s,
-        ),
+        max(0, get_uncertain_until(state) - now_s),
         is_restarted(state, now_s),
         is_accepting(state, worker_info, now_s),
         state.loss,
         list_possibly_started(state, worker_info, now_s),
         lists_all_ends(state),
+        state.needs_fence,
+        is_fenced(state),
+        max(0, state.late_leases_until_s - now_s),
     )
--- a/cumintack/coordination/runs/run_reconciliation_test.py
+++ b/cumintack/coordination/runs/run_reconciliation_test.py
@@ -19,6 +19,7 @@
 )
 from cumintack.coordination.runs.worker_run_state import (
     CallAnswer,
+    FencingToken,
     PaceRun,
     PollResult,
     StartRun,
@@ -121,7 +122,7 @@
     """A run that is not ordered is stopped."""
     state = _create_state()
     apply_poll_result(state, _create_poll(0.1, (KEY,)))
-    assert list_due_calls(state, 0.2) == [StopRun(KEY, 1)]
+    assert list_due_calls(state, 0.2) == [StopRun(KEY, FencingToken(1))]
 
 
 def test_run_is_not_absent_after_unanswered_start() -> None:
@@ -164,7 +165,7 @@
     report = create_report(state, 2.2)
     assert report is not None
     assert not report.closed
-    assert list_due_calls(state, 2.3) == [StopRun(KEY, 1)]
+    assert list_due_calls(state, 2.3) == [StopRun(KEY, FencingToken(1))]
 
 
 def test_refusal_of_the_only_start_closes_the_run() -> None:
@@ -327,7 +328,7 @@
     apply_poll_result(state, _create_poll(2.1, lifetime=NEW_LIFETIME))
     assert create_report(state, 2.2) is None
     stop = list_due_calls(state, 2.2)[0]
-    assert stop == StopRun(KEY, 1)
+    assert stop == StopRun(KEY, FencingToken(1))
     handle_call_answer(state, stop, _create_answer(2.3))
     assert create_report(state, 2.4) is not None
 
@@ -344,7 +345,7 @@
     record_worker_info(state, _create_worker_info(latest_lifetime), 3)
     apply_poll_result(state, _create_poll(3.1, lifetime=latest_lifetime))
     assert create_report(state, 3.2) is None
-    assert list_due_calls(state, 3.2) == [StopRun(KEY, 1)]
+    assert list_due_calls(state, 3.2) == [StopRun(KEY, FencingToken(1))]
 
 
 def test_unanswered_start_expires() -> None:
@@ -359,15 +360,15 @@
 def test_unanswered_lease_may_reach_the_next_incarnation() -> None:
     """A lease extension may still take effect under the same identifier."""
     state = _create_state(KEY)
-    record_unanswered_lease(state, LEASE_S, 0)
-    assert state.uncertain_until_s == MAX_CALL_DELAY_S + MAX_LEASE_S
+    record_unanswered_lease(state, LEASE_S, 0, FencingToken(1))
+    assert state.uncertain_lease.until_s == MAX_CALL_DELAY_S + MAX_LEASE_S
     record_worker_info(state, _create_worker_info(NEW_LIFETIME), 1)
-    assert state.uncertain_until_s == 1 + MAX_CALL_DELAY_S + MAX_LEASE_S
+    assert state.uncertain_lease.until_s == 1 + MAX_CALL_DELAY_S + MAX_LEASE_S
     other = msgspec.structs.replace(
         _create_worker_info('000003.x'), worker_id='x'
     )
     record_worker_info(state, other, 2)
-    assert state.uncertain_until_s < 0
+    assert state.uncertain_lease.until_s < 0
 
 
 def test_paused_guard_starts_nothing_under_an_expired_lease() -> None:
--- a/cumintack/coordination/runs/unanswered_calls.py
+++ b/cumintack/coordination/runs/unanswered_calls.py
@@ -8,19 +8,27 @@
 
 import msgspec
 
+from cumintack.coordination.runs.fencing import (
+    find_fence_against,
+    get_fenced_lease_end,
+    is_fenced,
+    require_fence,
+)
 from cumintack.coordination.runs.worker_run_state import (
     CallAnswer,
+    FencingToken,
     RunCallState,
     SentAcknowledgement,
     StartRun,
     UnansweredStart,
+    UncertainLease,
     WorkerCall,
     WorkerRunState,
     get_ended,
     get_running,
     lists_all_ends,
 )
-from cumintack.protocol.run_messages import RunKey, WorkerInfo
+from cumintack.protocol.run_messages import RunKey, RunOrder, WorkerInfo
 
 # Most seconds after which a call still takes effect: the platform carries out
 # calls up to 12 s after they were sent.
@@ -46,15 +54,21 @@
     return WorkerRunState(
         started_at_s + lease_s,
         max_lease_s=max_lease_s,
-        uncertain_until_s=(
-            started_at_s + MAX_CALL_DELAY_S + max(lease_s, max_lease_s)
+        uncertain_lease=UncertainLease(
+            started_at_s + MAX_CALL_DELAY_S + max(lease_s, max_lease_s),
+            cause='call of a previous process',
         ),
+        late_calls_until_s=started_at_s + MAX_CALL_DELAY_S,
         started_at_s=started_at_s,
     )
 
 
 def record_unanswered_lease(
-    state: WorkerRunState, until_s: float, now_s: float
+    state: WorkerRunState,
+    until_s: float,
+    now_s: float,
+    token: FencingToken,
+    cause: str = 'lease extension',
 ) -> None:
     """Record a lease extension, or a start with its lease, without an answer.
 
@@ -67,10 +81,28 @@
         until_s: The end of the lease that it sets.
         now_s: Current time of the monotonic clock, in seconds; the call was
             sent before.
+        token: The token under which it was sent.
+        cause: The call, for the log.
     """
-    lease_end_s = max(until_s, now_s + state.max_lease_s)
-    state.uncertain_until_s = max(
-        state.uncertain_until_s, lease_end_s + MAX_CALL_DELAY_S
+    require_fence(state, token)
+    state.late_calls_until_s = max(
+        state.late_calls_until_s, now_s + MAX_CALL_DELAY_S
+    )
+    lease_end_s = max(until_s, now_s + state.max_lease_s) + MAX_CALL_DELAY_S
+    state.late_leases_until_s = max(state.late_leases_until_s, lease_end_s)
+    fence = find_fence_against(state, token)
+    if fence is not None:
+        lease_end_s = get_fenced_lease_end(state, fence)
+    _prolong_uncertain_lease(state, UncertainLease(lease_end_s, token, cause))
+
+
+def _prolong_uncertain_lease(
+    state: WorkerRunState, lease: UncertainLease
+) -> None:
+    known = state.uncertain_lease
+    longest = lease if lease.until_s > known.until_s else known
+    state.uncertain_lease = msgspec.structs.replace(
+        longest, token=max(lease.token, known.token)
     )
 
 
@@ -85,10 +117,15 @@
     is_any_in_flight = any(
         call_state.is_in_flight for call_state in state.call_states.values()
     )
-    is_uncertain = is_any_in_flight or now_s < state.uncertain_until_s
-    delay_s = MAX_CALL_DELAY_S if is_uncertain else 0
-    state.uncertain_until_s = max(
-        state.uncertain_until_s, now_s + delay_s + state.max_lease_s
+    is_any_late = is_any_in_flight or now_s < state.late_calls_until_s
+    delay_s = MAX_CALL_DELAY_S if is_any_late else 0
+    _prolong_uncertain_lease(
+        state,
+        UncertainLease(
+            now_s + delay_s + state.max_lease_s,
+            state.token,
+            'call to an earlier incarnation',
+        ),
     )
 
 
@@ -106,7 +143,9 @@
 
 
 def record_inherited_runs(
-    state: WorkerRunState, worker_info: WorkerInfo
+    state: WorkerRunState,
+    worker_info: WorkerInfo,
+    wanted: tuple[RunOrder, ...],
 ) -> None:
     """Assume that a previous process sent an unanswered start of each run.
 
@@ -116,12 +155,14 @@
     Args:
         state: The state of the runs on the worker, with the ordered runs.
         worker_info: The worker.
+        wanted: The orders for the runs that the worker should run.
     """
+    started = {run.key for run in wanted if run.is_start_past}
     until_s = state.started_at_s + MAX_CALL_DELAY_S
     for key in (*state.wanted, *state.stops):
-        if key not in state.call_states:
+        if key not in state.call_states and key not in started:
             state.call_states[key] = RunCallState(
-                uncertain_until_s=max(until_s, state.uncertain_until_s)
+                uncertain_until_s=max(until_s, state.uncertain_lease.until_s)
             )
             state.unanswered_starts[key] = UnansweredStart(
                 worker_info.worker_id, until_s, worker_info.lifetime
@@ -164,6 +205,7 @@
                 float('inf'),
                 worker_info.lifetime,
                 earlier.until_s if earlier else float('-inf'),
+                state.token,
             )
 
 
@@ -187,7 +229,10 @@
             state.unanswered_starts.setdefault(
                 key,
                 UnansweredStart(
-                    worker_info.worker_id, now_s, worker_info.lifetime
+                    worker_info.worker_id,
+                    now_s,
+                    worker_info.lifetime,
+                    token=state.token,
                 ),
             )
 
@@ -212,6 +257,7 @@
         if start.worker_id in {'', worker_info.worker_id}
         and start.cleared_lifetime != worker_info.lifetime
         and (now_s < start.until_s or is_polled)
+        and not (is_fenced(state, start.token) and lists_all_ends(state))
         and not _is_start_past(state, start, now_s)
     ]
 
@@ -306,7 +352,9 @@
     """
     if isinstance(call, StartRun) and answer.is_sent:
         # The current incarnation may have answered it.
-        record_unanswered_lease(state, call.lease_until_s, answer.answered_at_s)
+        record_unanswered_lease(
+            state, call.lease_until_s, answer.answered_at_s, call.token, 'start'
+        )
     start = state.unanswered_starts.get(call.key)
     if start is None or not isinstance(call, StartRun):
         return
@@ -351,17 +399,21 @@
 
 
 def record_acknowledgement(
-    state: WorkerRunState, worker_info: WorkerInfo, sent_at_s: float
+    state: WorkerRunState,
+    worker_info: WorkerInfo,
+    token: FencingToken,
+    sent_at_s: float,
 ) -> None:
     """Record an acknowledgement of ends that is sent to the worker.
 
     Args:
         state: The state of the runs on the worker.
         worker_info: The worker that it is for.
+        token: The token under which it is sent.
         sent_at_s: When it is sent.
     """
     state.unanswered_acknowledgements[sent_at_s] = SentAcknowledgement(
-        worker_info.worker_id, worker_info.lifetime
+        worker_info.worker_id, worker_info.lifetime, token
     )
 
 
@@ -389,6 +441,7 @@
     """
     sent = state.unanswered_acknowledgements.get(sent_at_s)
     if sent is not None:
+        require_fence(state, sent.token)
         state.unanswered_acknowledgements[sent_at_s] = msgspec.structs.replace(
             sent, until_s=now_s + MAX_CALL_DELAY_S
         )
@@ -411,6 +464,7 @@
         sent.worker_id == worker_info.worker_id
         and sent.lifetime != worker_info.lifetime
         and now_s < sent.until_s
+        and not is_fenced(state, sent.token)
         for sent in state.unanswered_acknowledgements.values()
     )
 
--- a/cumintack/coordination/runs/unanswered_calls_test.py
+++ b/cumintack/coordination/runs/unanswered_calls_test.py
@@ -22,6 +22,7 @@
 )
 from cumintack.coordination.runs.worker_run_state import (
     CallAnswer,
+    FencingToken,
     PollResult,
     StartRun,
     StopRun,
@@ -40,6 +41,7 @@
 from cumintack.state.resources import Resources
 
 KEY = RunKey('0123456789abcdef.0.0.1', 1)
+TOKEN = FencingToken(1)
 LEASE_S = 8.0
 MAX_LEASE_S = 10.0
 FIRST = WorkerInfo(
@@ -275,7 +277,7 @@
     done for one that had never started.
     """
     state = _create_state()
-    record_acknowledgement(state, FIRST, 1)
+    record_acknowledgement(state, FIRST, TOKEN, 1)
     assert _report(state, 1.5).is_accepting
     record_worker_info(state, SECOND, 2)
     assert not _report(state, 2).is_accepting
@@ -288,7 +290,7 @@
 def test_acknowledgement_in_a_frozen_process_may_come_later() -> None:
     """It is carried out up to 12 s after it left, which is not known yet."""
     state = _create_state()
-    record_acknowledgement(state, FIRST, 1)
+    record_acknowledgement(state, FIRST, TOKEN, 1)
     record_worker_info(state, SECOND, 2)
     assert not _report(state, 1.1 + MAX_CALL_DELAY_S).is_accepting
 
@@ -296,7 +298,7 @@
 def test_acknowledgement_names_one_worker_identifier() -> None:
     """A worker under another identifier refuses it, a later one does not."""
     state = _create_state()
-    record_acknowledgement(state, FIRST, 1)
+    record_acknowledgement(state, FIRST, TOKEN, 1)
     record_worker_info(state, OTHER, 2)
     assert _report(state, 2).is_accepting
     record_worker_info(state, THIRD, 3)
@@ -306,7 +308,7 @@
 def test_answered_acknowledgement_has_no_further_effect() -> None:
     """An answer shows that the acknowledgement was carried out."""
     state = _create_state()
-    record_acknowledgement(state, FIRST, 1)
+    record_acknowledgement(state, FIRST, TOKEN, 1)
     record_acknowledgement_answer(state, 1)
     record_worker_info(state, SECOND, 2)
     assert _report(state, 2).is_accepting
--- a/cumintack/coordination/runs/worker_run_state.py
+++ b/cumintack/coordination/runs/worker_run_state.py
@@ -13,6 +13,22 @@
 )
 
 
+class FencingToken(msgspec.Struct, frozen=True, order=True):
+    """Token of a call; the worker refuses it once it has seen a higher one.
+
+    Attributes:
+        term: Term of the leader whose orders the call carries out.
+        number: Number of the fence within the term, 0 if the leader gave none.
+    """
+
+    term: int = 0
+    number: int = 0
+
+
+# Lower than every token under which this process of the guard makes calls.
+INHERITED_TOKEN = FencingToken()
+
+
 class PollResult(msgspec.Struct, frozen=True):
     """The runs that a worker listed in answer to a poll.
 
@@ -24,6 +40,7 @@
         ended: Ended runs that the worker still lists.
         lists_all_ends: Whether the worker has no other ends that are not
             acknowledged.
+        token: The token under which the poll was sent.
     """
 
     sent_at_s: float
@@ -32,6 +49,7 @@
     running: tuple[RunningRun, ...]
     ended: tuple[EndedRun, ...]
     lists_all_ends: bool = True
+    token: FencingToken = INHERITED_TOKEN
 
 
 class StartRun(msgspec.Struct, frozen=True):
@@ -39,7 +57,7 @@
 
     key: RunKey
     details: RunDetails
-    term: int
+    token: FencingToken
     lease_until_s: float
 
 
@@ -47,7 +65,7 @@
     """Stop a run, and refuse any start of it that arrives later."""
 
     key: RunKey
-    term: int
+    token: FencingToken
 
 
 class PaceRun(msgspec.Struct, frozen=True):
@@ -55,7 +73,7 @@
 
     key: RunKey
     percent: int
-    term: int
+    token: FencingToken
 
 
 WorkerCall = StartRun | StopRun | PaceRun
@@ -119,12 +137,14 @@
             it was meant for, or one that has confirmed a stop since.
         repeated_until_s: Until when an earlier start of the same run may be
             carried out, also if the latest one is answered.
+        token: Highest token of the starts of the run.
     """
 
     worker_id: str
     until_s: float
     cleared_lifetime: str
     repeated_until_s: float = float('-inf')
+    token: FencingToken = INHERITED_TOKEN
 
 
 class SentAcknowledgement(msgspec.Struct, frozen=True):
@@ -133,12 +153,14 @@
     Attributes:
         worker_id: Worker identifier that it names.
         lifetime: Incarnation whose ends it acknowledges.
+        token: The token under which it was sent.
         until_s: Until when it may be carried out; unknown while it is in
             flight.
     """
 
     worker_id: str
     lifetime: str
+    token: FencingToken
     until_s: float = float('inf')
 
 
@@ -154,12 +176,45 @@
     number: int = 0
 
 
+class Fence(msgspec.Struct, frozen=True):
+    """A token that an incarnation of the worker has seen.
+
+    Attributes:
+        lifetime: The incarnation.
+        token: The token; calls under lower ones have no effect any more.
+        seen_at_s: Time by which the worker had seen it.
+    """
+
+    lifetime: str
+    token: FencingToken
+    seen_at_s: float
+
+
+class UncertainLease(msgspec.Struct, frozen=True):
+    """A lease that calls without an answer may set.
+
+    Attributes:
+        until_s: Until when it may last.
+        token: Highest token of these calls.
+        cause: The call that sets the end.
+    """
+
+    until_s: float = float('-inf')
+    token: FencingToken = INHERITED_TOKEN
+    cause: str = ''
+
+
 class WorkerRunState(msgspec.Struct):
     """State of a guard about the runs of its worker.
 
     Attributes:
         latest_lease_end_s: Latest end of the leases sent to the worker.
         term: Term of the orders.
+        token: Fencing token of the calls to the worker. Other threads read it,
+            so that the term and the number are replaced together.
+        needs_fence: Whether calls that may still take effect have this token,
+            or are of an earlier incarnation or process.
+        fence: The latest token that the worker has certainly seen.
         orders_number: Number of the latest orders of the term.
         facts: The worker info, None until the worker announced itself.
         is_gone: Whether this incarnation of the worker has ended.
@@ -173,8 +228,11 @@
         call_states: State of the calls for each run.
         latest_poll: Result of the latest poll of this incarnation.
         max_lease_s: Longest lease that the worker keeps, in seconds.
-        uncertain_until_s: Until when leases that unanswered calls set may
-            last.
+        uncertain_lease: The lease that unanswered calls may set.
+        late_calls_until_s: Until when any call without an answer may be
+            carried out by an incarnation that has seen no higher token.
+        late_leases_until_s: Until when the calls that this process has seen
+            unanswered would prolong leases without a fence.
         unanswered_starts: The latest unanswered start of each run. It may
             still take effect in any later incarnation with the same
             identifier.
@@ -188,6 +246,9 @@
 
     latest_lease_end_s: float
     term: int = 0
+    token: FencingToken = INHERITED_TOKEN
+    needs_fence: bool = True
+    fence: Fence | None = None
     orders_number: int = 0
     facts: WorkerInfo | None = None
     is_gone: bool = False
@@ -200,7 +261,9 @@
     call_states: dict[RunKey, RunCallState] = {}
     latest_poll: PollResult | None = None
     max_lease_s: float = 0
-    uncertain_until_s: float = float('-inf')
+    uncertain_lease: UncertainLease = UncertainLease()
+    late_calls_until_s: float = float('-inf')
+    late_leases_until_s: float = float('-inf')
     unanswered_starts: dict[RunKey, UnansweredStart] = {}
     unanswered_acknowledgements: dict[float, SentAcknowledgement] = {}
     started_at_s: float = float('-inf')
--- a/cumintack/coordination/runs/worker_views.py
+++ b/cumintack/coordination/runs/worker_views.py
@@ -99,6 +99,7 @@
         is_usable: Whether the worker answers and has listed its runs.
         is_guard_restarted: Whether calls of a previous process of the guard
             may still take effect.
+        fence: Number of the latest fence given to the guard.
         accepts_from_s: When new runs may be placed on it, at the earliest.
         running: Runs that it lists as running.
         earlier_running: Recorded runs as earlier incarnations last listed
@@ -114,6 +115,8 @@
         progress_by_run: The progress of each best-effort run.
         listed_since_s: Time of the guard's clock in the first report that
             lists each run.
+        started_by_s: Time of the guard's clock by which the last start of each
+            listed run was made; minus infinity once all are answered.
         isolated_for: Workflow whose suspected tasks alone may be placed on it,
             empty if none.
         isolated_until_s: Until when it waits for their start.
@@ -128,6 +131,7 @@
     unsure_for_s: float = 0
     is_usable: bool = False
     is_guard_restarted: bool = False
+    fence: int = 0
     accepts_from_s: float = float('-inf')
     running: dict[RunKey, RunningRun] = {}
     earlier_running: dict[RunKey, RunningRun] = {}
@@ -140,6 +144,7 @@
     progress_marks: dict[RunKey, ProgressMark] = {}
     progress_by_run: dict[RunKey, RunProgress] = {}
     listed_since_s: dict[RunKey, float] = {}
+    started_by_s: dict[RunKey, float] = {}
     isolated_for: str = ''
     isolated_until_s: float = float('-inf')
 
--- a/cumintack/daemon/guard_logging.py
+++ b/cumintack/daemon/guard_logging.py
@@ -2,6 +2,7 @@
 
 import structlog
 
+from cumintack.coordination.runs.run_reconciliation import find_longest_hold
 from cumintack.coordination.runs.worker_run_state import (
     CallAnswer,
     PollResult,
@@ -40,7 +41,8 @@
         call=type(call).__name__,
         task=call.key.task_id,
         run=call.key.run,
-        term=call.term,
+        term=call.token.term,
+        fence=call.token.number,
         lifetime=worker_info.lifetime,
         queued_ms=_to_ms(answer.sent_at_s - queued_at_s),
         took_ms=_to_ms(answer.answered_at_s - answer.sent_at_s),
@@ -69,6 +71,41 @@
     )
 
 
+def log_token(state: WorkerRunState) -> None:
+    """Log a new fencing token, under which the worker is called from now on.
+
+    Args:
+        state: The state of the runs on the worker.
+    """
+    logger.info(
+        'guard: new fencing token',
+        lifetime=state.facts.lifetime if state.facts else '',
+        term=state.token.term,
+        fence=state.token.number,
+    )
+
+
+def log_hold(state: WorkerRunState, now_s: float) -> None:
+    """Log for how long the runs of a lost worker must be taken for running.
+
+    Args:
+        state: The state of the runs on the worker.
+        now_s: Current time of the monotonic clock, in seconds.
+    """
+    hold = find_longest_hold(state)
+    logger.info(
+        'guard: runs held',
+        lifetime=state.facts.lifetime if state.facts else '',
+        runs=len(state.wanted) + len(state.stops),
+        cause=hold.cause,
+        held_ms=_to_ms(hold.until_s - now_s),
+        fenced_ms=_to_ms(now_s - state.fence.seen_at_s)
+        if state.fence
+        else None,
+        needs_fence=state.needs_fence,
+    )
+
+
 def log_poll(state: WorkerRunState, poll: PollResult) -> None:
     """Log what a poll lists for the first time and no call explains.
 
--- a/cumintack/daemon/guard_logging_test.py
+++ b/cumintack/daemon/guard_logging_test.py
@@ -4,6 +4,7 @@
 
 from cumintack.coordination.runs.worker_run_state import (
     CallAnswer,
+    FencingToken,
     PollResult,
     StartRun,
     WorkerRunState,
@@ -28,7 +29,7 @@
 
 def test_call_is_logged_with_its_wait() -> None:
     """The time in the queue is told apart from the time of the call."""
-    call = StartRun(KEY, RunDetails('text'), 3, lease_until_s=18)
+    call = StartRun(KEY, RunDetails('text'), FencingToken(3), lease_until_s=18)
     answer = CallAnswer(
         is_answered=False,
         is_done=False,
--- a/cumintack/daemon/guard_threads_test.py
+++ b/cumintack/daemon/guard_threads_test.py
@@ -8,6 +8,7 @@
 
 from cumintack.coordination.runs.worker_run_state import (
     CallAnswer,
+    FencingToken,
     PollResult,
     StartRun,
     WorkerCall,
@@ -52,7 +53,7 @@
     def poll(
         self,
         worker_info: WorkerInfo,
-        term: int,
+        token: FencingToken,
         settled_number: int,
         wait_ms: int,
     ) -> Result[PollResult, StepError]:
@@ -64,7 +65,7 @@
         return Ok(PollResult(now_s, now_s, worker_info.lifetime, (), ()))
 
     def extend_lease(
-        self, worker_info: WorkerInfo, term: int, until_s: float
+        self, worker_info: WorkerInfo, token: FencingToken, until_s: float
     ) -> Result[PollResult, StepError]:
         """Give no answer."""
         return NO_ANSWER
--- a/cumintack/daemon/workflow_guard_component.py
+++ b/cumintack/daemon/workflow_guard_component.py
@@ -42,6 +42,7 @@
 )
 from cumintack.coordination.runs.worker_run_state import (
     CallAnswer,
+    FencingToken,
     PollResult,
     SettledEnds,
     StartRun,
@@ -51,7 +52,9 @@
 from cumintack.daemon.guard_logging import (
     log_call,
     log_closed_runs,
+    log_hold,
     log_poll,
+    log_token,
     log_unanswered_lease,
 )
 from cumintack.daemon.node import Node
@@ -99,7 +102,7 @@
     def poll(
         self,
         worker_info: WorkerInfo,
-        term: int,
+        token: FencingToken,
         settled_number: int,
         wait_ms: int,
     ) -> Result[PollResult, StepError]:
@@ -108,14 +111,14 @@
     def extend_lease(
         self,
         worker_info: WorkerInfo,
-        term: int,
+        token: FencingToken,
         until_s: float,
     ) -> Result[PollResult, StepError]:
         """Extend the lease and poll.
 
         Args:
             worker_info: The worker.
-            term: Term of the leader.
+            token: The fencing token.
             until_s: New end of the lease, on the clock of this process.
 
         Returns:
@@ -219,6 +222,7 @@
             return False
         now_s = self._node.clock.now_s()
         previous_term = self._runs.term
+        previous_token = self._runs.token
         if apply_orders(self._runs, message, now_s):
             if message.term != previous_term:
                 logger.info(
@@ -227,6 +231,8 @@
                     term=message.term,
                     former_term=previous_term,
                 )
+            if self._runs.token != previous_token:
+                log_token(self._runs)
             self._queue_due_calls(now_s)
             self._poll_event.signal()
         return True
@@ -260,7 +266,7 @@
             call=type(call).__name__,
             task=call.key.task_id,
             run=call.key.run,
-            term=call.term,
+            term=call.token.term,
         )
         withdraw_call(self._runs, worker_info, call)
         self._queue_due_calls(self._node.clock.now_s())
@@ -326,14 +332,16 @@
         runs = self._runs
         is_busy = bool(runs.wanted or runs.stops)
         wait_ms = self._settings.look_wait_ms
-        if runs.latest_poll is None or not is_busy:
+        token = runs.token
+        is_token_seen = runs.fence is not None and runs.fence.token >= token
+        if runs.latest_poll is None or not is_busy or not is_token_seen:
             wait_ms = 0
         settled_number = get_number_to_acknowledge(runs, worker_info)
         settled = SettledEnds(worker_info.lifetime, settled_number)
         if settled_number and settled != self._acknowledged:
-            outcome = self._acknowledge_ends(worker_info, settled)
+            outcome = self._acknowledge_ends(worker_info, token, settled)
         else:
-            outcome = self._poll(worker_info, 0, wait_ms)
+            outcome = self._poll(worker_info, token, 0, wait_ms)
         self._post_poll_outcome(outcome)
         if isinstance(outcome, Err):
             self._poll_event.wait_and_reset(FAILED_POLL_RETRY_S)
@@ -347,12 +355,16 @@
             self._poll_event.wait_and_reset(UNACKNOWLEDGED_POLL_INTERVAL_S)
 
     def _poll(
-        self, worker_info: WorkerInfo, settled_number: int, wait_ms: int
+        self,
+        worker_info: WorkerInfo,
+        token: FencingToken,
+        settled_number: int,
+        wait_ms: int,
     ) -> Result[PollResult, StepError]:
         return self._get_outcome(
             worker_info,
             lambda: self._client.poll(
-                worker_info, self._runs.term, settled_number, wait_ms
+                worker_info, token, settled_number, wait_ms
             ),
         )
 
@@ -379,7 +391,10 @@
             )
 
     def _acknowledge_ends(
-        self, worker_info: WorkerInfo, settled: SettledEnds
+        self,
+        worker_info: WorkerInfo,
+        token: FencingToken,
+        settled: SettledEnds,
     ) -> Result[PollResult, StepError]:
         """Acknowledge ends by a poll that does not wait.
 
@@ -390,9 +405,11 @@
         node = self._node
         sent_at_s = node.clock.now_s()
         node.post(
-            lambda: record_acknowledgement(self._runs, worker_info, sent_at_s)
+            lambda: record_acknowledgement(
+                self._runs, worker_info, token, sent_at_s
+            )
         )
-        outcome = self._poll(worker_info, settled.number, 0)
+        outcome = self._poll(worker_info, token, settled.number, 0)
         if isinstance(outcome, Ok):
             self._acknowledged = settled
             node.post(
@@ -415,10 +432,11 @@
         if not until_s:
             return
         lifetime = worker_info.lifetime
+        token = runs.token
         sent_at_s = self._node.clock.now_s()
         outcome = self._get_outcome(
             worker_info,
-            lambda: self._client.extend_lease(worker_info, runs.term, until_s),
+            lambda: self._client.extend_lease(worker_info, token, until_s),
         )
         if isinstance(outcome, Ok) and outcome.ok_value.lifetime == lifetime:
             self._lease_sent_until_s = until_s
@@ -426,7 +444,9 @@
             now_s = self._node.clock.now_s()
             log_unanswered_lease(worker_info, sent_at_s, until_s)
             self._node.post(
-                lambda: record_unanswered_lease(self._runs, until_s, now_s),
+                lambda: record_unanswered_lease(
+                    self._runs, until_s, now_s, token
+                ),
             )
         self._post_poll_outcome(outcome)
 
@@ -472,6 +492,7 @@
                 ],
                 count=len(starts),
             )
+            log_hold(self._runs, now_s)
             self._send_report(now_s)
 
     def _log_worker_reachability(
--- a/cumintack/daemon/workflow_guard_component_test.py
+++ b/cumintack/daemon/workflow_guard_component_test.py
@@ -12,6 +12,7 @@
 
 from cumintack.coordination.runs.worker_run_state import (
     CallAnswer,
+    FencingToken,
     PollResult,
     WorkerCall,
 )
@@ -52,7 +53,7 @@
     def poll(
         self,
         worker_info: WorkerInfo,
-        term: int,
+        token: FencingToken,
         settled_number: int,
         wait_ms: int,
     ) -> Result[PollResult, StepError]:
@@ -61,10 +62,10 @@
         return Ok(PollResult(0, 0, worker_info.lifetime, (), ()))
 
     def extend_lease(
-        self, worker_info: WorkerInfo, term: int, until_s: float
+        self, worker_info: WorkerInfo, token: FencingToken, until_s: float
     ) -> Result[PollResult, StepError]:
         """List nothing."""
-        return self.poll(worker_info, term, 0, 0)
+        return self.poll(worker_info, token, 0, 0)
 
     def perform(self, worker_info: WorkerInfo, call: WorkerCall) -> CallAnswer:
         """Wait, then carry out the call."""
--- a/cumintack/platform/_wire.py
+++ b/cumintack/platform/_wire.py
@@ -141,7 +141,7 @@
 class WireHoldRequest(msgspec.Struct, frozen=True, omit_defaults=True):
     """Poll of the runs of a worker, which may also extend its lease."""
 
-    term: int = msgspec.field(name='fencing_token')
+    token: int = msgspec.field(name='fencing_token')
     # Acknowledges ended runs up to this number; the worker may drop them.
     settled_number: int = msgspec.field(name='ack_seq')
     # End of the lease of all runs of the worker, on the worker's clock.
@@ -197,7 +197,7 @@
     program: str = msgspec.field(name='spec')
     # End of the lease of all runs of the worker, on the worker's clock.
     lease_until_ms: int = msgspec.field(name='deadline_ms')
-    term: int = msgspec.field(name='fencing_token')
+    token: int = msgspec.field(name='fencing_token')
     checkpoint: str = ''
     ticket: str = ''
 
@@ -207,7 +207,7 @@
 
     task_id: str = msgspec.field(name='task')
     run: int
-    term: int = msgspec.field(name='fencing_token')
+    token: int = msgspec.field(name='fencing_token')
 
 
 class WirePace(msgspec.Struct, frozen=True):
@@ -216,7 +216,7 @@
     task_id: str = msgspec.field(name='task')
     run: int
     percent: int
-    term: int = msgspec.field(name='fencing_token')
+    token: int = msgspec.field(name='fencing_token')
 
 
 class WireAdviceRequest(msgspec.Struct, frozen=True):
--- a/cumintack/platform/odd_entries_test.py
+++ b/cumintack/platform/odd_entries_test.py
@@ -34,7 +34,10 @@
     MAX_CALL_DELAY_S,
     create_worker_run_state,
 )
-from cumintack.coordination.runs.worker_run_state import PollResult
+from cumintack.coordination.runs.worker_run_state import (
+    FencingToken,
+    PollResult,
+)
 from cumintack.daemon.settings import WorkflowGuardSettings
 from cumintack.platform.announcements import WorkerAnnouncements
 from cumintack.platform.fake_worker_test import BORN_MS, INSTANCE, FakeWorker
@@ -163,7 +166,7 @@
     def poll(self) -> Result[PollResult, StepError]:
         """Poll the worker and report what it lists."""
         assert self.runs.facts is not None
-        outcome = self._client.poll(self.runs.facts, 1, 0, 0)
+        outcome = self._client.poll(self.runs.facts, FencingToken(1), 0, 0)
         if isinstance(outcome, Ok):
             apply_poll_result(self.runs, outcome.ok_value)
         self.report()
--- a/cumintack/platform/worker_calls.py
+++ b/cumintack/platform/worker_calls.py
@@ -15,8 +15,10 @@
 import structlog
 from result import Err, Ok, Result
 
+from cumintack.coordination.runs.fencing import MAX_CLOCK_DRIFT
 from cumintack.coordination.runs.worker_run_state import (
     CallAnswer,
+    FencingToken,
     PaceRun,
     PollResult,
     StartRun,
@@ -56,10 +58,10 @@
 MAX_ANSWER_BYTES = 4194304
 # Most ends that a worker lists in one answer.
 MAX_LISTED_ENDS = 500
-# Share by which leases are shortened, because the worker's clock may be up to
-# 2% slow.
-MAX_CLOCK_DRIFT = 0.02
 MS_PER_S = 1000
+# Numbers of fences in a term. The token on the wire is one number, which stays
+# exact as a floating-point number for two million terms.
+FENCES_PER_TERM = 4294967296
 # Reasons of a refusal after which the same start may be sent again unchanged.
 RETRYABLE_REASONS = frozenset(('fence', 'late'))
 FULL_PERCENT = 100
@@ -99,26 +101,27 @@
     def poll(
         self,
         worker_info: WorkerInfo,
-        term: int,
+        token: FencingToken,
         settled_number: int,
         wait_ms: int,
     ) -> Result[PollResult, StepError]:
         """Poll the runs of the worker, waiting up to ``wait_ms`` for an end."""
-        hold = WireHoldRequest(term, settled_number, wait_ms=wait_ms)
-        return self._send_hold(
-            worker_info, hold, CALL_TIMEOUT_S + wait_ms / MS_PER_S
+        hold = WireHoldRequest(
+            _encode_token(token), settled_number, wait_ms=wait_ms
         )
+        timeout_s = CALL_TIMEOUT_S + wait_ms / MS_PER_S
+        return self._send_hold(worker_info, token, hold, timeout_s)
 
     def extend_lease(
         self,
         worker_info: WorkerInfo,
-        term: int,
+        token: FencingToken,
         until_s: float,
     ) -> Result[PollResult, StepError]:
         """Extend the lease until a time of this process's clock, and poll."""
         lease_until_ms = self._convert_to_worker_ms(until_s)
-        hold = WireHoldRequest(term, 0, lease_until_ms)
-        return self._send_hold(worker_info, hold, CALL_TIMEOUT_S)
+        hold = WireHoldRequest(_encode_token(token), 0, lease_until_ms)
+        return self._send_hold(worker_info, token, hold, CALL_TIMEOUT_S)
 
     def _convert_to_worker_ms(self, until_s: float) -> int:
         clock_ms, read_at_s = self._clock_reading
@@ -128,6 +131,7 @@
     def _send_hold(
         self,
         worker_info: WorkerInfo,
+        token: FencingToken,
         hold: WireHoldRequest,
         timeout_s: float,
     ) -> Result[PollResult, StepError]:
@@ -157,6 +161,7 @@
                 tuple(_iter_running(reply)),
                 tuple(_iter_ended(reply, now_ms)),
                 lists_all_ends=len(reply.ended) < MAX_LISTED_ENDS,
+                token=token,
             ),
         )
 
@@ -177,6 +182,7 @@
     def perform(self, worker_info: WorkerInfo, call: WorkerCall) -> CallAnswer:
         """Perform a call and return its outcome."""
         sent_at_s = self._clock.now_s()
+        token = _encode_token(call.token)
         match call:
             case StartRun(key=key, details=details):
                 path = '/v1/run-start'
@@ -185,16 +191,16 @@
                     key.run,
                     details.program,
                     self._convert_to_worker_ms(call.lease_until_s),
-                    call.term,
+                    token,
                     details.checkpoint,
                     details.ticket,
                 )
             case StopRun(key=key):
                 path = '/v1/run-stop'
-                body = WireStop(key.task_id, key.run, call.term)
+                body = WireStop(key.task_id, key.run, token)
             case PaceRun(key=key):
                 path = '/v1/pace'
-                body = WirePace(key.task_id, key.run, call.percent, call.term)
+                body = WirePace(key.task_id, key.run, call.percent, token)
         sent = self._post(worker_info, path, body, CALL_TIMEOUT_S)
         now_s = self._clock.now_s()
         if isinstance(sent, Err):
@@ -203,6 +209,10 @@
         return _decode_call_answer(sent.ok_value, sent_at_s, now_s)
 
 
+def _encode_token(token: FencingToken) -> int:
+    return token.term * FENCES_PER_TERM + token.number
+
+
 def _decode_call_answer(
     answer: HttpAnswer, sent_at_s: float, now_s: float
 ) -> CallAnswer:
--- a/cumintack/platform/worker_calls_test.py
+++ b/cumintack/platform/worker_calls_test.py
@@ -3,9 +3,10 @@
 from collections.abc import Iterator
 
 import pytest
-from result import Ok
+from result import Err, Ok
 
 from cumintack.coordination.runs.worker_run_state import (
+    FencingToken,
     PaceRun,
     PollResult,
     StartRun,
@@ -34,6 +35,7 @@
     Resources(16000, 32768),
     ('a', 'r1-3'),
 )
+TOKEN = FencingToken(7, 2)
 CLOCK = SystemClock()
 
 
@@ -45,13 +47,13 @@
 
 
 def _poll(client: PlatformWorkerClient, settled_number: int = 0) -> PollResult:
-    outcome = client.poll(WORKER_INFO, 7, settled_number, 0)
+    outcome = client.poll(WORKER_INFO, TOKEN, settled_number, 0)
     assert isinstance(outcome, Ok), outcome
     return outcome.ok_value
 
 
 def _start(until_s: float) -> StartRun:
-    return StartRun(KEY, RunDetails('text'), 7, until_s)
+    return StartRun(KEY, RunDetails('text'), TOKEN, until_s)
 
 
 def test_run_from_start_to_end(worker: FakeWorker) -> None:
@@ -61,9 +63,9 @@
     answer = client.perform(WORKER_INFO, _start(CLOCK.now_s() + 5))
     assert answer.is_done
     assert [run.key for run in _poll(client).running] == [KEY]
-    assert client.perform(WORKER_INFO, PaceRun(KEY, 40, 7)).is_done
+    assert client.perform(WORKER_INFO, PaceRun(KEY, 40, TOKEN)).is_done
     assert worker.paces == {KEY.task_id: 40}
-    assert client.perform(WORKER_INFO, StopRun(KEY, 7)).is_done
+    assert client.perform(WORKER_INFO, StopRun(KEY, TOKEN)).is_done
     ended = _poll(client).ended
     assert [(end.key, end.kind) for end in ended] == [(KEY, 'stopped')]
     assert not _poll(client, ended[0].number).ended
@@ -73,7 +75,7 @@
     """A lease ends in time even if the worker's clock is 2% slow."""
     client = PlatformWorkerClient(worker.address, 2, CLOCK)
     _poll(client)
-    client.extend_lease(WORKER_INFO, 7, CLOCK.now_s() + 5)
+    client.extend_lease(WORKER_INFO, TOKEN, CLOCK.now_s() + 5)
     remaining_ms = worker.lease_until_ms - worker.clock_ms
     assert remaining_ms <= 5000 * 0.98
     assert remaining_ms > 4000
@@ -87,9 +89,9 @@
     _poll(client)
     clock_ms = worker.clock_ms
     worker.clock_ms += 60000
-    client.perform(WORKER_INFO, PaceRun(KEY, 40, 7))
+    client.perform(WORKER_INFO, PaceRun(KEY, 40, TOKEN))
     worker.clock_ms = clock_ms
-    client.extend_lease(WORKER_INFO, 7, CLOCK.now_s() + 5)
+    client.extend_lease(WORKER_INFO, TOKEN, CLOCK.now_s() + 5)
     assert worker.lease_until_ms - clock_ms <= 5000
 
 
@@ -108,6 +110,20 @@
     assert answer.reason == reason
 
 
+# Guards against late calls that the worker takes for later ones.
+@pytest.mark.parametrize('token', [FencingToken(7, 1), FencingToken(6, 9)])
+def test_calls_under_a_lower_token_are_refused(
+    worker: FakeWorker, token: FencingToken
+) -> None:
+    """Tokens are ordered by their term, then by the number of the fence."""
+    client = PlatformWorkerClient(worker.address, 2, CLOCK)
+    assert _poll(client).token == TOKEN
+    stop = client.perform(WORKER_INFO, StopRun(KEY, token))
+    assert stop.is_answered
+    assert not stop.is_done
+    assert isinstance(client.poll(WORKER_INFO, token, 0, 0), Err)
+
+
 def test_unreachable_worker_gives_no_answer(worker: FakeWorker) -> None:
     """A call to a worker that accepts no connection is not sent."""
     client = PlatformWorkerClient(worker.address, 2, CLOCK)
--- a/cumintack/protocol/run_messages.py
+++ b/cumintack/protocol/run_messages.py
@@ -25,10 +25,12 @@
         key: The run.
         details: Details for starting it; omitted once the guard has reported
             that it has them.
+        is_start_past: Whether no start of it can still be carried out.
     """
 
     key: RunKey
     details: 'RunDetails | None' = None
+    is_start_past: bool = False
 
 
 class RunDetails(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -76,8 +78,7 @@
     """Desired state of one worker.
 
     Attributes:
-        term: Term of the leader, used as the fencing token of all calls to
-            the worker.
+        term: Term of the leader.
         number: Increases with each message of the term.
         lifetime: Incarnation of the worker that the orders are for.
         echoed_sent_at_s: Send time of the answered report on the guard's
@@ -89,6 +90,8 @@
         weights: Learned interference between the images on the worker.
         earlier: Runs recorded on earlier incarnations of the worker, for a
             guard process that does not know the calls of the previous one.
+        fence: Number of the fence within the term, 0 if the leader numbers
+            none. With the term it is the fencing token of calls to the worker.
     """
 
     term: int
@@ -101,6 +104,7 @@
     stops: tuple[RunKey, ...]
     weights: tuple[PairWeight, ...] = ()
     earlier: tuple[RunKey, ...] = ()
+    fence: int = 0
 
 
 class RunningRun(msgspec.Struct, frozen=True, array_like=True):
@@ -116,6 +120,7 @@
         has_details: Whether the guard has the details of the run.
         has_outlived_start: Whether its start was confirmed long enough ago
             for it not to be the cause of a crash.
+        is_start_settled: Whether every start of it has been answered.
     """
 
     key: RunKey
@@ -124,6 +129,7 @@
     measurement: float
     has_details: bool
     has_outlived_start: bool = False
+    is_start_settled: bool = False
 
 
 class EndedRun(msgspec.Struct, frozen=True, array_like=True):
@@ -226,6 +232,12 @@
             them.
         lists_all_ends: Whether a run that is not listed has no end on the
             worker either.
+        needs_fence: Whether calls that were made under the current fencing
+            token, or by a previous process, may still be carried out.
+        is_fenced: Whether this incarnation refuses the calls of previous
+            processes of the guard and those meant for earlier incarnations.
+        late_calls_for_s: How long calls like one that went unanswered here
+            may prolong leases on other workers, 0 if none has.
     """
 
     sent_at_s: float
@@ -243,6 +255,9 @@
     loss: WorkerLoss | None = None
     possibly_started: tuple[RunKey, ...] | None = None
     lists_all_ends: bool = True
+    needs_fence: bool = False
+    is_fenced: bool = False
+    late_calls_for_s: float = 0
 
 
 class WorkflowQuery(msgspec.Struct, frozen=True, tag=True):
--- a/soak/worker.py
+++ b/soak/worker.py
@@ -260,11 +260,11 @@
             incarnation = self._incarnation
             if expected_worker_id != incarnation.worker_id:
                 return self._create_response(HTTPStatus.MISDIRECTED_REQUEST)
-            if call.term < incarnation.fencing_token:
+            if call.token < incarnation.fencing_token:
                 return self._create_response(
                     HTTPStatus.CONFLICT, reason='fence'
                 )
-            incarnation.fencing_token = call.term
+            incarnation.fencing_token = call.token
             match call:
                 case WireStart():
                     return self._handle_start(incarnation, call)
