A batch task that failed runs again where it did if no other worker suits it

Cause: scheduling.py excluded each worker on which the task had failed, also where no other one suited it, and a task is held only after failures on three workers.

Evidence: test_task_runs_again_on_the_only_worker_that_suits_it failed before the fix: no placement after the first failure.

Why the fix works: workers where the task failed come last, and are used only if no other suits it once it has room. Each failed attempt counts towards the hold, so that a task that always fails on one worker is held after three.

The other new test, of a task that waits for a better worker, holds on both.

--- a/cumintack/coordination/scheduling.py
+++ b/cumintack/coordination/scheduling.py
@@ -9,6 +9,7 @@
 import bisect
 import collections
 import math
+from collections.abc import Iterator
 
 from cumintack.coordination._placement_index import (
     FreeCores,
@@ -38,6 +39,7 @@
     fits_within,
 )
 from cumintack.state.tables import ControlTables
+from cumintack.state.workers import get_batch_capacity
 
 __all__ = (
     'Scheduler',
@@ -232,24 +234,69 @@
     task: Task,
     scheduling_class: SchedulingClass,
 ) -> str | None:
+    """Find a worker with free capacity for a task.
+
+    One on which the task has failed is used only if no other suits the task.
+    """
+    racks = _get_sibling_racks(tables, job) if job.spec.spread_racks else set()
+    fallback: str | None = None
+    for name in _iter_free_workers(scheduler, tables, scheduling_class):
+        is_on_other_rack = tables.workers[name].spec.rack not in racks
+        if not is_on_other_rack or not _is_available(scheduler, job, name):
+            continue
+        if name not in task.failed_on:
+            return name
+        fallback = fallback or name
+    if fallback is None or _is_any_untried(
+        scheduler, tables, task, scheduling_class, racks
+    ):
+        return None
+    return fallback
+
+
+def _is_any_untried(
+    scheduler: Scheduler,
+    tables: ControlTables,
+    task: Task,
+    scheduling_class: SchedulingClass,
+    excluded_racks: set[str],
+) -> bool:
+    """Return whether a task could run where it has not failed, given room."""
+    kind = tables.jobs[task.job_id].spec.kind
+    for name in scheduler.free_resources:
+        worker = tables.workers[name]
+        is_excluded = (
+            name in task.failed_on
+            or worker.spec.rack in excluded_racks
+            or kind in scheduler.avoided_kinds.get(name, ())
+        )
+        has_capacity = fits_within(
+            scheduling_class.need, get_batch_capacity(worker)
+        )
+        if has_capacity and not is_excluded:
+            if is_data_centre_allowed(worker, scheduling_class):
+                return True
+    return False
+
+
+def _iter_free_workers(
+    scheduler: Scheduler,
+    tables: ControlTables,
+    scheduling_class: SchedulingClass,
+) -> Iterator[str]:
     start = bisect.bisect_left(
         scheduler.by_free_cores,
         FreeCores(scheduling_class.need.cores_milli, ''),
     )
-    racks = _get_sibling_racks(tables, job) if job.spec.spread_racks else set()
     for candidate in scheduler.by_free_cores[start:]:
         name = candidate.worker
         has_capacity = fits_within(
             scheduling_class.need, scheduler.free_resources[name]
         )
-        if not has_capacity or name in task.failed_on:
-            continue
-        worker = tables.workers[name]
-        is_on_other_rack = worker.spec.rack not in racks
-        if is_on_other_rack and _is_available(scheduler, job, name):
-            if is_data_centre_allowed(worker, scheduling_class):
-                return name
-    return None
+        if has_capacity and is_data_centre_allowed(
+            tables.workers[name], scheduling_class
+        ):
+            yield name
 
 
 def _is_available(scheduler: Scheduler, job: Job, name: str) -> bool:
--- a/cumintack/coordination/scheduling_test.py
+++ b/cumintack/coordination/scheduling_test.py
@@ -17,10 +17,13 @@
     SubmitJob,
 )
 from cumintack.state.jobs import (
+    MAX_FAILURES,
     JobSpec,
+    Placement,
     Priority,
     ReportKind,
     TaskReport,
+    TaskStatus,
 )
 from cumintack.state.machine import apply_command
 from cumintack.state.resources import Resources
@@ -76,6 +79,54 @@
     assert run_scheduling_pass(scheduler, tables, 2).placements
 
 
+# Guards against a task that stays pending for good after its first failure.
+def test_task_runs_again_on_the_only_worker_that_suits_it() -> None:
+    """Workers that are too small for it do not count as others."""
+    tables, scheduler = _create_scheduler(1)
+    small = WorkerSpec('small', 'north-yard', 'rack-2', Resources(1000, 1000))
+    _apply(tables, RegisterWorkers((small,)))
+    _submit(tables, Priority.normal)
+    for _ in range(MAX_FAILURES):
+        placed = run_scheduling_pass(scheduler, tables, 1).placements
+        assert [placement.worker for placement in placed] == ['w0']
+        _fail(tables, placed[0])
+    assert not run_scheduling_pass(scheduler, tables, 1).placements
+    task = next(iter(tables.tasks.values()))
+    assert task.status is TaskStatus.held
+
+
+# Guards against a task that runs again where it failed beside other workers.
+def test_failed_task_waits_for_another_worker_that_suits_it() -> None:
+    """A worker that is full for now is still preferred."""
+    tables, scheduler = _create_scheduler(2)
+    _submit(tables, Priority.normal)
+    first = run_scheduling_pass(scheduler, tables, 1).placements[0]
+    _apply(tables, PlaceTasks((first,)))
+    _submit(tables, Priority.normal)
+    second = run_scheduling_pass(scheduler, tables, 1).placements[0]
+    assert second.worker != first.worker
+    _apply(tables, PlaceTasks((second,)))
+    _report(tables, first, ReportKind.failed)
+    assert not run_scheduling_pass(scheduler, tables, 1).placements
+    _report(tables, second, ReportKind.completed)
+    again = run_scheduling_pass(scheduler, tables, 1).placements
+    assert [placement.worker for placement in again] == [second.worker]
+
+
+def _fail(tables: ControlTables, placement: Placement) -> None:
+    _apply(tables, PlaceTasks((placement,)))
+    _report(tables, placement, ReportKind.failed)
+
+
+def _report(
+    tables: ControlTables, placement: Placement, kind: ReportKind
+) -> None:
+    report = TaskReport(
+        placement.task_id, placement.attempt, kind, placement.worker
+    )
+    _apply(tables, ReportTasks((report,)))
+
+
 def test_expired_reservation_is_released() -> None:
     """A reservation of a job that waits for its quota ends at its deadline."""
     tables, scheduler = _create_scheduler(2)
--- a/cumintack/state/_job_transitions.py
+++ b/cumintack/state/_job_transitions.py
@@ -437,7 +437,7 @@
 def _hold_failing_job(
     tables: ControlTables, job: Job, report: TaskReport
 ) -> None:
-    reason = f'{report.task_id} failed on several workers: {report.detail}'
+    reason = f'{report.task_id} failed several times: {report.detail}'
     tables.jobs[job.job_id] = msgspec.structs.replace(
         job,
         status=JobStatus.held,
--- a/cumintack/state/jobs.py
+++ b/cumintack/state/jobs.py
@@ -161,7 +161,7 @@
         worker: Worker of the attempt, empty while pending.
         checkpoint: Last recorded checkpoint, empty if none.
         resumed_count: Placements that resumed from a checkpoint.
-        failed_on: Workers on which an attempt failed.
+        failed_on: Worker of each attempt that failed.
         evicted_count: Number of evictions.
     """
 
@@ -195,7 +195,8 @@
     worker: str
 
 
-MAX_FAILED_WORKERS = 3
+# Failed attempts after which a task is held for an operator.
+MAX_FAILURES = 3
 UNKNOWN_OUTCOME_KINDS = frozenset((ReportKind.lapsed, ReportKind.vanished))
 
 
@@ -230,9 +231,9 @@
 
 def _requeue(task: Task, report: TaskReport) -> Task:
     failed_on = task.failed_on
-    if report.kind is ReportKind.failed and task.worker not in failed_on:
+    if report.kind is ReportKind.failed:
         failed_on = (*failed_on, task.worker)
-    is_held = len(failed_on) >= MAX_FAILED_WORKERS
+    is_held = len(failed_on) >= MAX_FAILURES
     is_evicted = task.status is TaskStatus.stopping
     return msgspec.structs.replace(
         task,
