A guard that is started again makes no second start of a run that has begun

A run of those that the worker did not list was still started once more under its number, and if that call went unanswered and the guard was killed again, the next process was told that no start is open. Found by reading, not seen in a run.

Such a run counts as started before the process: if the first poll does not list it, it has vanished, and the leader places it again under a new number.

test_started_run_that_is_not_listed_has_vanished failed before: the call that was due was a start.

--- a/cumintack/coordination/runs/fencing_test.py
+++ b/cumintack/coordination/runs/fencing_test.py
@@ -35,6 +35,7 @@
 from cumintack.coordination.runs.worker_run_state import (
     FencingToken,
     PollResult,
+    StopRun,
     WorkerRunState,
 )
 from cumintack.protocol.run_messages import (
@@ -217,6 +218,18 @@
     assert list_due_calls(state, 0)[0].token == FencingToken(1, 2)
 
 
+# Guards against a second start by a process that knows nothing of the first.
+def test_started_run_that_is_not_listed_has_vanished() -> None:
+    """The leader knows that the previous process has started it."""
+    state = create_worker_run_state(0, LEASE_S, MAX_LEASE_S)
+    record_worker_info(state, FIRST, 0)
+    runs = (RunOrder(KEY, RunDetails('text'), is_start_past=True),)
+    orders = RunOrders(1, 1, FIRST.lifetime, 0, LEASE_S, 0, runs, (), fence=1)
+    assert apply_orders(state, orders, 0)
+    apply_poll_result(state, PollResult(1, 1, FIRST.lifetime, (), ()))
+    assert list_due_calls(state, 1) == [StopRun(KEY, FencingToken(1, 1))]
+
+
 # Guards against a start that is made after the leader was told of the run.
 def test_waiting_start_of_a_listed_run_is_not_made() -> None:
     """Another start of the run has been carried out meanwhile."""
--- a/cumintack/coordination/runs/unanswered_calls.py
+++ b/cumintack/coordination/runs/unanswered_calls.py
@@ -147,20 +147,25 @@
     worker_info: WorkerInfo,
     wanted: tuple[RunOrder, ...],
 ) -> None:
-    """Assume that a previous process sent an unanswered start of each run.
+    """Assume that a previous process sent a start of each run.
 
     A run that the first orders of a leader name may have been ordered before
-    this process started. Later orders only add runs recorded after them.
+    this process started. Later orders only add runs recorded after them. The
+    start was unanswered unless the leader knows that it is past.
 
     Args:
         state: The state of the runs on the worker, with the ordered runs.
         worker_info: The worker.
         wanted: The orders for the runs that the worker should run.
     """
-    started = {run.key for run in wanted if run.is_start_past}
+    for order in wanted:
+        if order.is_start_past:
+            state.call_states.setdefault(
+                order.key, RunCallState(started_at_s=float('-inf'))
+            )
     until_s = state.started_at_s + MAX_CALL_DELAY_S
     for key in (*state.wanted, *state.stops):
-        if key not in state.call_states and key not in started:
+        if key not in state.call_states:
             state.call_states[key] = RunCallState(
                 uncertain_until_s=max(until_s, state.uncertain_lease.until_s)
             )
