A guard without a new fence polls its worker with pauses as before

Found by reading, before any release.

Only the first poll under a token returns at once. `guard: runs held` names the fence of the current incarnation only.

--- a/cumintack/coordination/runs/fake_guard_test.py
+++ b/cumintack/coordination/runs/fake_guard_test.py
@@ -40,6 +40,7 @@
     record_unanswered_lease,
 )
 from cumintack.coordination.runs.worker_run_state import (
+    INHERITED_TOKEN,
     CallAnswer,
     FencingToken,
     PaceRun,
@@ -109,6 +110,7 @@
         self._next_report_at_s = 0.0
         self._latest_order = (0.0, 0)
         self._clock_reading = (0, 0.0)
+        self._polled_token = INHERITED_TOKEN
         self._pause_number = 0
         self._is_paused = False
         self._after(0, self._tick)
@@ -320,7 +322,8 @@
         if state.latest_poll is None or not is_busy:
             wait_s = 0
         token = state.token
-        if state.fence is None or state.fence.token < token:
+        if token != self._polled_token:
+            self._polled_token = token
             wait_s = 0
         number = get_number_to_acknowledge(state, worker_info)
         settled = SettledEnds(worker_info.lifetime, number)
--- a/cumintack/daemon/guard_logging.py
+++ b/cumintack/daemon/guard_logging.py
@@ -93,15 +93,17 @@
         now_s: Current time of the monotonic clock, in seconds.
     """
     hold = find_longest_hold(state)
+    lifetime = state.facts.lifetime if state.facts else ''
+    fenced_ms = None
+    if state.fence is not None and state.fence.lifetime == lifetime:
+        fenced_ms = _to_ms(now_s - state.fence.seen_at_s)
     logger.info(
         'guard: runs held',
-        lifetime=state.facts.lifetime if state.facts else '',
+        lifetime=lifetime,
         runs=len(state.wanted) + len(state.stops),
         cause=hold.cause,
         held_ms=_to_ms(hold.until_s - now_s),
-        fenced_ms=_to_ms(now_s - state.fence.seen_at_s)
-        if state.fence
-        else None,
+        fenced_ms=fenced_ms,
         needs_fence=state.needs_fence,
     )
 
--- a/cumintack/daemon/workflow_guard_component.py
+++ b/cumintack/daemon/workflow_guard_component.py
@@ -41,6 +41,7 @@
     record_worker_loss,
 )
 from cumintack.coordination.runs.worker_run_state import (
+    INHERITED_TOKEN,
     CallAnswer,
     FencingToken,
     PollResult,
@@ -147,6 +148,7 @@
         '_server',
         '_settings',
         '_poll_event',
+        '_polled_token',
     )
 
     def __init__(
@@ -172,6 +174,7 @@
         self._is_worker_lost = False
         self._is_report_withheld = False
         self._poll_event = AutoResetEvent()
+        self._polled_token = INHERITED_TOKEN
         self._queued_calls: queue.SimpleQueue[QueuedCall] = queue.SimpleQueue()
         self._server: HttpServer | None = None
         threading.Thread(target=self._poll_loop, daemon=True).start()
@@ -333,8 +336,9 @@
         is_busy = bool(runs.wanted or runs.stops)
         wait_ms = self._settings.look_wait_ms
         token = runs.token
-        is_token_seen = runs.fence is not None and runs.fence.token >= token
-        if runs.latest_poll is None or not is_busy or not is_token_seen:
+        is_new_token = token != self._polled_token
+        self._polled_token = token
+        if runs.latest_poll is None or not is_busy or is_new_token:
             wait_ms = 0
         settled_number = get_number_to_acknowledge(runs, worker_info)
         settled = SettledEnds(worker_info.lifetime, settled_number)
--- a/cumintack/daemon/workflow_guard_component_test.py
+++ b/cumintack/daemon/workflow_guard_component_test.py
@@ -48,6 +48,7 @@
     def __init__(self) -> None:
         """Start with no calls."""
         self.calls: list[WorkerCall] = []
+        self.waits_ms: list[int] = []
         self.is_released = threading.Event()
 
     def poll(
@@ -58,6 +59,7 @@
         wait_ms: int,
     ) -> Result[PollResult, StepError]:
         """List nothing."""
+        self.waits_ms.append(wait_ms)
         time.sleep(POLL_S)
         return Ok(PollResult(0, 0, worker_info.lifetime, (), ()))
 
@@ -142,3 +144,19 @@
     )
     assert len(client.calls) == settings.call_threads
     guard.close()
+
+
+# Guards against a guard that polls without a pause until it is given a fence.
+def test_polls_wait_while_no_fence_is_given(client: HangingClient) -> None:
+    """A leader of an earlier version gives none."""
+    node = FakeNode()
+    settings = WorkflowGuardSettings('127.0.0.1:0', '127.0.0.1:1')
+    guard = WorkflowGuardComponent(cast(Node, node), settings, client)
+    run = RunOrder(RunKey('0123456789abcdef.0.0.0', 1), RunDetails('text'))
+    guard.handle_announcement(WORKER)
+    node.posted.get(timeout=TIMEOUT_S)()
+    guard.handle('leader', _create_orders(1, (run,)))
+    node.run_until(lambda: len(client.waits_ms) >= RUN_COUNT)
+    guard.close()
+    assert not client.waits_ms[0]
+    assert set(client.waits_ms[3:]) == {settings.look_wait_ms}
