--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -19,6 +19,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 
 HERE = pathlib.Path(__file__).resolve().parent
 ROOT = HERE.parent.parent
@@ -289,15 +290,21 @@
 def play(check, record_path, side_count, **options):
     """Play a case: 0 if the rule held, 1 if not, 2 if it couldn't run."""
     is_troubled = os.environ.get('TROUBLE', '1') != '0'
-    fleet = Fleet(record_path, side_count, **options)
+    # Processes are ended also if the script itself is.
+    signal.signal(signal.SIGTERM, lambda *_args: sys.exit(2))
+    fleet = None
+    code = 2
     try:
+        fleet = Fleet(record_path, side_count, **options)
         fleet.start()
         problem = check(fleet, is_troubled)
         fleet.record(f'broken: {problem}' if problem else 'the rule held')
         code = 1 if problem else 0
     except CannotRun as error:
-        fleet.record(f'could not run: {error}')
-        code = 2
+        print(f'could not run: {error}', file=sys.stderr)
+    except Exception:  # An error of the script says nothing about the rule.
+        traceback.print_exc()
     finally:
-        fleet.close()
+        if fleet is not None:
+            fleet.close()
     return code
--- a/review/standins-2/worker.py
+++ b/review/standins-2/worker.py
@@ -264,8 +264,12 @@
             self.send_response(status)
             self.send_header('Content-Type', 'application/json')
             self.send_header('Content-Length', str(len(body)))
-            self.end_headers()
-            self.wfile.write(body)
+            try:
+                self.end_headers()
+                self.wfile.write(body)
+            except OSError:
+                # The caller has given up, as on a worker that hung.
+                self.close_connection = True
 
         def log_message(self, *_args):
             pass
