--- a/review/7/check.py
+++ b/review/7/check.py
@@ -2,6 +2,7 @@
 
 import http.client
 import json
+import os
 import pathlib
 import sys
 import time
@@ -75,4 +76,6 @@
 
 
 if __name__ == '__main__':
-    sys.exit(fleets.play(check, HERE / 'record.txt', 6))
+    # With TROUBLE=0 the case is played without the disruption.
+    is_troubled = os.environ.get('TROUBLE', '1') != '0'
+    sys.exit(fleets.play(check, HERE / 'record.txt', 6, is_troubled))
--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -287,15 +287,14 @@
             shutil.rmtree(self.folder, ignore_errors=True)
 
 
-def play(check, record_path, side_count, **options):
+def play(check, record_path, side_count, is_troubled):
     """Play a case: 0 if the rule held, 1 if not, 2 if it couldn't run."""
-    is_troubled = os.environ.get('TROUBLE', '1') != '0'
     # Processes are ended also if the script itself is.
     signal.signal(signal.SIGTERM, lambda *_args: sys.exit(2))
     fleet = None
     code = 2
     try:
-        fleet = Fleet(record_path, side_count, **options)
+        fleet = Fleet(record_path, side_count)
         fleet.start()
         problem = check(fleet, is_troubled)
         fleet.record(f'broken: {problem}' if problem else 'the rule held')
--- a/review/standins-2/worker.py
+++ b/review/standins-2/worker.py
@@ -74,12 +74,14 @@
     def watch_gangs(self):
         """Follow which members of each gang are there, on all workers."""
         present = {}
+        rest = ''
         with open(self.options.events) as lines:
             while True:
                 time.sleep(GANG_LOOK_S)
-                for line in lines.readlines():
-                    row = json.loads(line)
-                    self.follow(present, row)
+                # The last line may still be being written.
+                *whole, rest = (rest + lines.read()).split('\n')
+                for line in whole:
+                    self.follow(present, json.loads(line))
                 with self.lock:
                     self.judge_gangs(present)
 
