Operators evacuate a data centre and take it back

The operator's request to send nothing more to the workers of a data centre was answered with 404, and tasks went on starting there.

The leader takes its workers out of placement, and stops runs that are recorded there but that the worker has not listed, since their guards would go on repeating the start. Listed runs go on. The handler reads the evacuation before it changes it and the operation names the revision read, so that a request held up on its way cannot undo a later one. Settings of control replicas list the data centres; others are refused.

--- a/cumintack/coordination/querying.py
+++ b/cumintack/coordination/querying.py
@@ -209,6 +209,16 @@
         )
 
 
+def _produce_evacuations(context: QueryContext) -> Iterable[tuple[Cell, ...]]:
+    for data_centre, evacuation in context.tables.workflows.evacuations.items():
+        yield (
+            data_centre,
+            evacuation.is_active,
+            evacuation.revision,
+            evacuation.changed_at_ms,
+        )
+
+
 CONTROL_TABLES = {
     'workers': TableDefinition(
         (
@@ -299,6 +309,10 @@
         ('claim', 'request', 'entry', 'claimed_at_ms', 'status'),
         _produce_claims,
     ),
+    'evacuations': TableDefinition(
+        ('data_centre', 'is_active', 'revision', 'changed_at_ms'),
+        _produce_evacuations,
+    ),
 }
 
 UPSTREAM_COLUMNS = (
--- a/cumintack/coordination/runs/run_leadership.py
+++ b/cumintack/coordination/runs/run_leadership.py
@@ -30,6 +30,10 @@
     record_loss,
     update_isolation,
 )
+from cumintack.coordination.runs.data_centre_evacuation import (
+    list_unstarted_runs,
+    update_evacuated_workers,
+)
 from cumintack.coordination.runs.evacuation import list_runs_to_evacuate
 from cumintack.coordination.runs.failure_tracking import (
     record_failure,
@@ -83,6 +87,7 @@
     RunEnd,
     RunEndKind,
     RunStart,
+    SetEvacuation,
     StepKey,
     WorkflowTables,
     get_task,
@@ -232,6 +237,7 @@
         leadership.fence_count += 1
         view.fence = leadership.fence_count
     _update_view(view, report, now_s)
+    update_evacuated_workers((view,), leadership.index, tables)
     _record_late_calls(leadership, report, now_s)
     _record_started_runs(placed_runs, view)
     mark_changed(leadership.index, guard)
@@ -565,6 +571,10 @@
     match operation:
         case CancelWorkflow(workflow_id=workflow_id):
             _update_guards_of_workflow(leadership, tables, workflow_id)
+        case SetEvacuation():
+            update_evacuated_workers(
+                leadership.views.values(), leadership.index, tables
+            )
         case RecordRuns():
             _handle_recorded_ends(leadership, tables, operation)
             for begun_id in operation.begun_workflows:
@@ -656,6 +666,7 @@
         effects.extend(_propose_ends(leadership, tables, ends, now_s))
         effects.extend(_begin_due_occurrences(tables, now_ms))
         _evacuate_draining_workers(leadership, tables, now_s)
+        _withdraw_unstarted_runs(leadership, tables)
         fit_weights(leadership.interference, now_s)
         prune_means(leadership.interference, now_s)
         prune_inactive_steps(leadership.advice, tables)
@@ -777,6 +788,19 @@
                 leadership.guards_to_update[guard] = None
 
 
+def _withdraw_unstarted_runs(
+    leadership: RunLeadership, tables: WorkflowTables
+) -> None:
+    for guard, view in leadership.views.items():
+        if not view.is_evacuated:
+            continue
+        placed_runs = get_placed_runs(leadership.index, tables, guard)
+        for key in list_unstarted_runs(placed_runs, view):
+            if key not in leadership.stop_reasons:
+                leadership.stop_reasons[key] = 'its data centre is evacuated'
+                leadership.guards_to_update[guard] = None
+
+
 def _migrate_slow_runs(
     leadership: RunLeadership,
     tables: WorkflowTables,
--- a/cumintack/coordination/runs/worker_views.py
+++ b/cumintack/coordination/runs/worker_views.py
@@ -99,6 +99,7 @@
         is_usable: Whether the worker answers and has listed its runs.
         is_guard_restarted: Whether calls of a previous process of the guard
             may still take effect.
+        is_evacuated: Whether its data centre is being evacuated.
         fence: Number of the latest fence given to the guard.
         accepts_from_s: When new runs may be placed on it, at the earliest.
         running: Runs that it lists as running.
@@ -131,6 +132,7 @@
     unsure_for_s: float = 0
     is_usable: bool = False
     is_guard_restarted: bool = False
+    is_evacuated: bool = False
     fence: int = 0
     accepts_from_s: float = float('-inf')
     running: dict[RunKey, RunningRun] = {}
@@ -322,8 +324,8 @@
         now_s: Current time of the monotonic clock, in seconds.
 
     Returns:
-        False while the worker is silent, unusable, draining, excluded or
-        isolated.
+        False while the worker is silent, unusable, draining, evacuated,
+        excluded or isolated.
     """
     return not view.isolated_for and is_available(view, now_s)
 
@@ -341,6 +343,7 @@
     return (
         view.is_usable
         and not view.facts.is_draining
+        and not view.is_evacuated
         and now_s - view.last_report_at_s <= REPORT_TIMEOUT_S
         and now_s >= view.excluded_until_s
         and now_s >= view.accepts_from_s
--- a/cumintack/coordination/statements.py
+++ b/cumintack/coordination/statements.py
@@ -7,6 +7,7 @@
     Assign,
     Cancel,
     Drain,
+    Evacuate,
     Hold,
     Option,
     Statement,
@@ -26,6 +27,7 @@
 from cumintack.state.errors import ErrorCode, StepError
 from cumintack.state.jobs import JobSpec
 from cumintack.state.resources import Resources
+from cumintack.state.workflows import SetEvacuation
 
 STEP = 'language.check'
 NEED_OPTIONS = frozenset(('cores_milli', 'memory_mb', 'accelerators'))
@@ -67,6 +69,8 @@
                     is_draining=statement.is_draining,
                 ),
             )
+        case Evacuate():
+            return Ok(SetEvacuation(statement.data_centre, statement.is_active))
         case Hold():
             reason = 'held by an operator' if statement.is_held else ''
             return Ok(HoldJob(statement.job_id, statement.is_held, reason))
--- a/cumintack/coordination/statements_test.py
+++ b/cumintack/coordination/statements_test.py
@@ -21,6 +21,8 @@
     'cancel j12, j13',
     'drain worker-07',
     'undrain worker-07',
+    'evacuate north-yard',
+    'readmit north-yard',
     'hold j1',
     'release j1',
     'set service.rounds-desk.timeout_ms = 1500 if version 42',
--- a/cumintack/daemon/control_component.py
+++ b/cumintack/daemon/control_component.py
@@ -66,6 +66,7 @@
     VoteRequest,
 )
 from cumintack.protocol.run_messages import (
+    EvacuationQuery,
     JoinRequest,
     QueueConfigurationQuery,
     RunReport,
@@ -256,7 +257,9 @@
                 self._handle_worker_status(sender, message, now_s)
             case RunReport():
                 self._handle_run_report(sender, message, now_s)
-            case WorkflowQuery() | QueueConfigurationQuery():
+            case (
+                WorkflowQuery() | QueueConfigurationQuery() | EvacuationQuery()
+            ):
                 self._workflow_coordinator.submit(
                     sender, message, self._replica, now_s
                 )
--- a/cumintack/daemon/metric_definitions.py
+++ b/cumintack/daemon/metric_definitions.py
@@ -29,6 +29,8 @@
 
 METRIC_DEFINITIONS = (
     _count('advice.asked', 'Advice requests to the external adviser.'),
+    _count('evacuation.begun', 'Requests to begin an evacuation.'),
+    _count('evacuation.ended', 'Requests to end an evacuation.'),
     _count('gate.unknown', 'Workflow calls with unknown outcome.'),
     _count('guard.call-done', 'Calls to the worker that succeeded.'),
     _count('guard.call-refused', 'Calls that the worker refused.'),
--- a/cumintack/daemon/settings.py
+++ b/cumintack/daemon/settings.py
@@ -69,6 +69,8 @@
         is_sync_trusted: Whether the disk keeps everything that was synced, so
             that a torn write at the end of the log was never acknowledged.
         run_lease_ms: Duration of the lease of a worker for its runs.
+        data_centres: Region of each data centre that an operator may evacuate;
+            empty if any name is accepted.
     """
 
     data_folder: str
@@ -84,6 +86,7 @@
     tolerated_losses: int = 1
     is_sync_trusted: bool = False
     run_lease_ms: int = 8000
+    data_centres: dict[str, str] = {}
 
 
 class EntrySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/cumintack/daemon/workflow_coordinator.py
+++ b/cumintack/daemon/workflow_coordinator.py
@@ -26,6 +26,7 @@
     log_undecided_runs,
 )
 from cumintack.protocol.run_messages import (
+    EvacuationQuery,
     QueueConfigurationQuery,
     RunReport,
     WorkflowQuery,
@@ -34,6 +35,7 @@
 from cumintack.state.errors import ErrorCode, StepError
 from cumintack.state.queues import find_queue
 from cumintack.state.workflows import (
+    NO_EVACUATION,
     RecordRuns,
     WorkflowRecord,
     WorkflowStatus,
@@ -50,7 +52,7 @@
 FIRST_READ_ID = 0x10000000000
 
 logger = structlog.get_logger()
-ReadQuery = WorkflowQuery | QueueConfigurationQuery
+ReadQuery = WorkflowQuery | QueueConfigurationQuery | EvacuationQuery
 
 
 class PendingReadQuery(msgspec.Struct, frozen=True):
@@ -194,6 +196,9 @@
             case QueueConfigurationQuery(call_id=call_id):
                 source = tables.configuration.source
                 reply = WorkflowReply(call_id, source=source)
+            case EvacuationQuery(call_id=call_id, data_centre=data_centre):
+                evacuation = tables.evacuations.get(data_centre, NO_EVACUATION)
+                reply = WorkflowReply(call_id, evacuation=evacuation)
         self._node.send(pending.peer, reply)
 
     def fail(self, read_id: int) -> None:
--- a/cumintack/daemon/workflow_entry_component.py
+++ b/cumintack/daemon/workflow_entry_component.py
@@ -14,6 +14,7 @@
 from cumintack.daemon.settings import WorkflowEntrySettings
 from cumintack.protocol.messages import Message, Propose, Proposed
 from cumintack.protocol.run_messages import (
+    EvacuationQuery,
     QueueConfigurationQuery,
     WorkflowQuery,
     WorkflowReply,
@@ -22,9 +23,11 @@
 from cumintack.state.configuration import Configuration
 from cumintack.state.errors import ErrorCode, StepError
 from cumintack.state.workflows import (
+    NO_EVACUATION,
     AcceptWorkflow,
     CancelWorkflow,
     ReplaceQueues,
+    SetEvacuation,
 )
 from cumintack.transport.http_server import HttpHandler, HttpServer
 
@@ -169,6 +172,41 @@
             return reply
         return WorkflowReply(0, error=UNKNOWN_OUTCOME)
 
+    def set_evacuation(
+        self, data_centre: str, *, is_active: bool, timeout_s: float
+    ) -> StepError | None:
+        """Begin or end an evacuation; repeat if another change came first.
+
+        The evacuation is read before it is changed. A command that is still
+        under way when the operator makes the opposite request through another
+        process is then refused.
+
+        Returns:
+            The error; None once the requested state is committed.
+        """
+        deadline_s = self._node.clock.now_s() + timeout_s
+        error: StepError | None = UNKNOWN_OUTCOME
+        while self._node.clock.now_s() < deadline_s:
+            remaining_s = deadline_s - self._node.clock.now_s()
+            reply = call_leader(
+                self._node,
+                lambda call_id: EvacuationQuery(call_id, data_centre),
+                remaining_s,
+            )
+            if not isinstance(reply, WorkflowReply) or reply.error is not None:
+                return UNKNOWN_OUTCOME
+            evacuation = reply.evacuation or NO_EVACUATION
+            if evacuation.is_active is is_active:
+                return None
+            operation = SetEvacuation(
+                data_centre, is_active, evacuation.revision
+            )
+            remaining_s = deadline_s - self._node.clock.now_s()
+            error = self.submit(operation, max(0, remaining_s))
+            if error is None or error.code is not ErrorCode.conflict:
+                return error
+        return error
+
     def is_ready(self) -> bool:
         """Return whether the balancer should send callers to this entry."""
         leader = self._node.calls.leader
@@ -193,6 +231,8 @@
             return {'cancel': workflow_id}
         case ReplaceQueues(configuration=configuration):
             return {'replace': configuration.version}
+        case SetEvacuation(data_centre=data_centre, is_active=is_active):
+            return {'evacuate' if is_active else 'readmit': data_centre}
         case _:
             return {'operation': type(operation).__name__}
 
--- a/cumintack/daemon/workflow_logging.py
+++ b/cumintack/daemon/workflow_logging.py
@@ -10,6 +10,7 @@
 from cumintack.coordination.runs.step_ranking import compute_objective_ms
 from cumintack.protocol.run_messages import RunKey, RunReport
 from cumintack.state.workflows import (
+    NO_EVACUATION,
     AcceptWorkflow,
     CancelWorkflow,
     CrashEvidence,
@@ -17,6 +18,7 @@
     ReplaceQueues,
     RunEnd,
     RunEndKind,
+    SetEvacuation,
     StepSpec,
     WorkflowStatus,
     WorkflowTables,
@@ -48,6 +50,8 @@
                 asked=operation.configuration.version,
                 in_force=tables.configuration.version,
             )
+        case SetEvacuation():
+            _log_evacuation(tables, operation)
         case RecordRuns():
             _log_runs(tables, operation)
 
@@ -64,12 +68,28 @@
             metrics.count('workflow.handed-in')
         case CancelWorkflow():
             metrics.count('workflow.cancelled')
+        case SetEvacuation(is_active=True):
+            metrics.count('evacuation.begun')
+        case SetEvacuation():
+            metrics.count('evacuation.ended')
         case RecordRuns():
             metrics.count('run.placed', len(operation.starts))
             for end in operation.ends:
                 metrics.count(f'run.{end.kind.value}')
 
 
+def _log_evacuation(tables: WorkflowTables, operation: SetEvacuation) -> None:
+    evacuation = tables.evacuations.get(operation.data_centre, NO_EVACUATION)
+    logger.info(
+        'control: evacuation',
+        data_centre=operation.data_centre,
+        requested=operation.is_active,
+        expected_revision=operation.expected_revision,
+        is_active=evacuation.is_active,
+        revision=evacuation.revision,
+    )
+
+
 def _log_accepted(tables: WorkflowTables, operation: AcceptWorkflow) -> None:
     workflow = tables.workflows.get(operation.workflow_id)
     if workflow is None:
--- a/cumintack/platform/deploy_test.py
+++ b/cumintack/platform/deploy_test.py
@@ -15,6 +15,7 @@
 PLACEHOLDER_VALUES = {
     'ip': '10.1.0.13',
     'node_name': 'edge-north-yard-1',
+    'zones|json': '{"north-yard": "perth-metro"}',
     'zone': 'north-yard',
     'internal_ports.0': '7720',
     'seed_addrs|json': '["10.1.0.17:8166", "10.2.0.34:8166"]',
--- a/cumintack/platform/operator_calls.py
+++ b/cumintack/platform/operator_calls.py
@@ -1,5 +1,7 @@
-"""HTTP API of the operator: replace and read the queue configuration."""
+"""HTTP API of the operator: configuration of queues, and evacuations."""
 
+import re
+from collections.abc import Container
 from http import HTTPStatus
 
 import msgspec
@@ -20,6 +22,10 @@
 from cumintack.state.workflows import ReplaceQueues
 from cumintack.transport.http_server import HttpRequest, HttpResponse
 
+EVACUATION_PATH = re.compile(
+    '/v1/evacuation/(?P<data_centre>[^/]+)/(?P<change>start|end)'
+)
+MAX_DATA_CENTRE_LENGTH = 64
 # The operator tries another node when there is no response within this time.
 MAX_TIMEOUT_S = 0.9
 
@@ -29,11 +35,20 @@
 class OperatorCalls:
     """Handles the requests that arrive at one control replica."""
 
-    __slots__ = ('_gateway',)
+    __slots__ = ('_data_centres', '_gateway')
+
+    def __init__(
+        self, gateway: LeaderGateway, data_centres: Container[str] = ()
+    ) -> None:
+        """Create a handler that forwards to a gateway.
 
-    def __init__(self, gateway: LeaderGateway) -> None:
-        """Create a handler that forwards to a gateway."""
+        Args:
+            gateway: The gateway.
+            data_centres: The data centres that may be evacuated; empty for
+                any.
+        """
         self._gateway = gateway
+        self._data_centres = data_centres
 
     def respond(self, request: HttpRequest) -> HttpResponse:
         """Handle a request of the operator."""
@@ -42,8 +57,32 @@
                 return self._replace(request.body)
             case ('GET', '/v1/config/read'):
                 return self._read()
+        evacuation = EVACUATION_PATH.fullmatch(request.path)
+        if evacuation is not None and request.method == 'POST':
+            return self._set_evacuation(
+                evacuation['data_centre'],
+                is_active=evacuation['change'] == 'start',
+            )
         return _create_error_response(HTTPStatus.NOT_FOUND, 'no such path')
 
+    def _set_evacuation(
+        self, data_centre: str, *, is_active: bool
+    ) -> HttpResponse:
+        is_known = not self._data_centres or data_centre in self._data_centres
+        if not is_known or len(data_centre) > MAX_DATA_CENTRE_LENGTH:
+            return _create_error_response(
+                HTTPStatus.NOT_FOUND,
+                f'no data centre {data_centre[:MAX_DATA_CENTRE_LENGTH]!r}',
+            )
+        error = self._gateway.set_evacuation(
+            data_centre, is_active=is_active, timeout_s=MAX_TIMEOUT_S
+        )
+        if error is not None:
+            return _create_error_response(
+                HTTPStatus.SERVICE_UNAVAILABLE, error.detail
+            )
+        return HttpResponse(HTTPStatus.OK, b'{}')
+
     def _replace(self, body: bytes) -> HttpResponse:
         configuration = decode_configuration(body)
         if isinstance(configuration, str):
--- a/cumintack/protocol/language.py
+++ b/cumintack/protocol/language.py
@@ -74,6 +74,13 @@
     is_draining: bool
 
 
+class Evacuate(msgspec.Struct, frozen=True, tag=True):
+    """Begin or end the evacuation of a data centre."""
+
+    data_centre: str
+    is_active: bool
+
+
 class Hold(msgspec.Struct, frozen=True, tag=True):
     """Hold or release a job."""
 
@@ -104,7 +111,15 @@
 
 
 Statement = (
-    Select | Submit | Cancel | Drain | Hold | Assign | Team | ReplicaChange
+    Select
+    | Submit
+    | Cancel
+    | Drain
+    | Evacuate
+    | Hold
+    | Assign
+    | Team
+    | ReplicaChange
 )
 
 
@@ -196,6 +211,12 @@
     def undrain(self, children: list[Scalar]) -> Drain:
         return Drain(str(children[0]), is_draining=False)
 
+    def evacuate(self, children: list[Scalar]) -> Evacuate:
+        return Evacuate(str(children[0]), is_active=True)
+
+    def readmit(self, children: list[Scalar]) -> Evacuate:
+        return Evacuate(str(children[0]), is_active=False)
+
     def hold(self, children: list[Scalar]) -> Hold:
         return Hold(str(children[0]), is_held=True)
 
--- a/cumintack/protocol/messages.py
+++ b/cumintack/protocol/messages.py
@@ -18,6 +18,7 @@
     VoteRequest,
 )
 from cumintack.protocol.run_messages import (
+    EvacuationQuery,
     JoinRequest,
     QueueConfigurationQuery,
     RunOrders,
@@ -303,6 +304,7 @@
     | RunOrders
     | WorkflowQuery
     | QueueConfigurationQuery
+    | EvacuationQuery
     | WorkflowReply
     | JoinRequest
     | VoteRequest
--- a/cumintack/protocol/run_messages.py
+++ b/cumintack/protocol/run_messages.py
@@ -9,6 +9,7 @@
 
 from cumintack.state.errors import StepError
 from cumintack.state.resources import Resources
+from cumintack.state.workflows import Evacuation
 
 
 class RunKey(msgspec.Struct, frozen=True, array_like=True):
@@ -284,6 +285,13 @@
     call_id: int
 
 
+class EvacuationQuery(msgspec.Struct, frozen=True, tag=True):
+    """Query to the leader for the evacuation of a data centre."""
+
+    call_id: int
+    data_centre: str
+
+
 class WorkflowReply(msgspec.Struct, frozen=True, tag=True):
     """Answer to a query.
 
@@ -294,6 +302,7 @@
         source: The queue configuration as sent by the operator.
         error: Why the query failed, None if it succeeded.
         leader: Name of the leader, empty if unknown.
+        evacuation: The evacuation of the data centre.
     """
 
     call_id: int
@@ -302,6 +311,7 @@
     source: bytes = b''
     error: StepError | None = None
     leader: str = ''
+    evacuation: Evacuation | None = None
 
 
 class JoinRequest(msgspec.Struct, frozen=True, tag=True):
--- a/cumintack/state/commands.py
+++ b/cumintack/state/commands.py
@@ -11,7 +11,7 @@
 from cumintack.state.jobs import JobSpec, Placement, TaskReport
 from cumintack.state.resources import Resources
 from cumintack.state.workers import WorkerSpec
-from cumintack.state.workflows import WorkflowOperation
+from cumintack.state.workflows import SetEvacuation, WorkflowOperation
 
 Setting = bool | int | float | str
 
@@ -117,6 +117,7 @@
     | ReportTasks
     | ClaimRequest
     | SettleClaim
+    | SetEvacuation
     | WorkflowOperation
 )
 
--- a/cumintack/state/machine.py
+++ b/cumintack/state/machine.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from cumintack.state import _claim_transitions, _job_transitions
+from cumintack.state._evacuation_transitions import set_evacuation
 from cumintack.state._refusals import find_refusal, record_refusal
 from cumintack.state._workflow_transitions import (
     apply_workflow_operation,
@@ -44,6 +45,7 @@
     CancelWorkflow,
     RecordRuns,
     ReplaceQueues,
+    SetEvacuation,
     WorkflowIndex,
     WorkflowOperation,
     WorkflowTables,
@@ -160,6 +162,10 @@
             return _job_transitions.place_tasks(tables, index, operation)
         case ReportTasks():
             return _job_transitions.report_tasks(tables, index, operation)
+        case SetEvacuation():
+            return set_evacuation(
+                tables.workflows, index, operation, command.proposed_at_ms
+            )
         case (
             AcceptWorkflow()
             | BeginOccurrence()
--- a/cumintack/state/workflows.py
+++ b/cumintack/state/workflows.py
@@ -282,6 +282,40 @@
 )
 
 
+class SetEvacuation(msgspec.Struct, frozen=True, tag=True):
+    """Begin or end the evacuation of a data centre.
+
+    Attributes:
+        data_centre: The data centre.
+        is_active: Whether the evacuation begins.
+        expected_revision: Revision of the evacuation that the sender has read,
+            0 if there was none; a command that arrives after a later change is
+            refused. None for any revision.
+    """
+
+    data_centre: str
+    is_active: bool
+    expected_revision: int | None = None
+
+
+class Evacuation(msgspec.Struct, frozen=True):
+    """The latest evacuation of a data centre.
+
+    Attributes:
+        is_active: Whether no task may be started in the data centre.
+        revision: Index of the log entry that began or ended it.
+        changed_at_ms: Wall time of that change, in ms since 1970.
+    """
+
+    is_active: bool
+    revision: int
+    changed_at_ms: int
+
+
+# An evacuation that was never requested.
+NO_EVACUATION = Evacuation(is_active=False, revision=0, changed_at_ms=0)
+
+
 class WaitingTasks(msgspec.Struct):
     """Tasks of a ready step that have no run in progress.
 
@@ -333,12 +367,14 @@
         workflows: Workflows by identifier, oldest first.
         index: Indexes derived from the workflows.
         refusals: Latest refused commands by session and sequence, oldest first.
+        evacuations: The latest evacuation of each data centre that had one.
     """
 
     configuration: QueueConfiguration = QueueConfiguration()
     workflows: dict[str, WorkflowRecord] = {}
     index: WorkflowIndex = msgspec.field(default_factory=WorkflowIndex)
     refusals: dict[str, Refusal] = {}
+    evacuations: dict[str, Evacuation] = {}
 
 
 def format_task_id(key: TaskKey) -> str:
@@ -415,6 +451,20 @@
     return workflow.spec.steps[key.step]
 
 
+def is_evacuated(tables: WorkflowTables, data_centre: str) -> bool:
+    """Tell whether a data centre is being evacuated.
+
+    Args:
+        tables: The workflows.
+        data_centre: The data centre.
+
+    Returns:
+        Whether no task may be started in it.
+    """
+    evacuation = tables.evacuations.get(data_centre)
+    return evacuation is not None and evacuation.is_active
+
+
 def list_pools(tables: WorkflowTables) -> tuple[str, ...]:
     """List the pools whose workers may run tasks.
 
--- a/cumintack/transport/operator_api.py
+++ b/cumintack/transport/operator_api.py
@@ -12,6 +12,7 @@
     Assign,
     Cancel,
     Drain,
+    Evacuate,
     Hold,
     ReplicaChange,
     Select,
@@ -142,7 +143,7 @@
     match statement:
         case Select():
             return 'reader'
-        case Submit() | Cancel() | Hold() | Drain():
+        case Submit() | Cancel() | Hold() | Drain() | Evacuate():
             return 'operator'
         case Assign() | Team() | ReplicaChange():
             return 'administrator'
