Guards probe the health of workers that have a health path

A worker that considered itself unhealthy got tasks like any other until they had failed or stood still. The path in the configuration of a service was not read.

The leader names the path of the pool in its orders. The guard probes it once a second from the worker's own machine, in a thread of its own, and reports the answer. The answer may be false either way, so that it excludes no worker by itself: others are preferred, one failure instead of two excludes it, and half of the usual time without progress counts as a stall.

--- a/cumintack/coordination/runs/failure_tracking.py
+++ b/cumintack/coordination/runs/failure_tracking.py
@@ -5,6 +5,7 @@
 task at a time, and a success clears it.
 """
 
+from cumintack.coordination.runs.health_evidence import UNHEALTHY_FAILURES
 from cumintack.coordination.runs.worker_views import WorkerView
 
 # Failures in a row that exclude a worker. Two occur on a healthy worker about
@@ -29,7 +30,7 @@
     recent = [at_s for at_s in view.failures if now_s - at_s < FAILURE_WINDOW_S]
     recent.append(now_s)
     view.failures = recent
-    if len(recent) >= MIN_FAILURES:
+    if len(recent) >= _get_min_failures(view):
         view.excluded_until_s = now_s + COOLDOWN_S
 
 
@@ -54,7 +55,11 @@
         Whether runs failed on it recently without a success since.
     """
     recent = [at_s for at_s in view.failures if now_s - at_s < FAILURE_WINDOW_S]
-    return len(recent) >= MIN_FAILURES
+    return len(recent) >= _get_min_failures(view)
+
+
+def _get_min_failures(view: WorkerView) -> int:
+    return UNHEALTHY_FAILURES if view.is_unhealthy else MIN_FAILURES
 
 
 def has_just_failed(view: WorkerView, now_s: float) -> bool:
--- a/cumintack/coordination/runs/placement.py
+++ b/cumintack/coordination/runs/placement.py
@@ -502,7 +502,18 @@
     if is_on_probation(view, scheduling_pass.now_s):
         if view.trial_placed_at_s >= view.excluded_until_s:
             return None
-    step = kind.step
+    score = _compute_score(scheduling_pass, view, usage, kind.step)
+    if score is not None and view.is_unhealthy:
+        score -= WEIGHT_UNHEALTHY
+    return score
+
+
+def _compute_score(
+    scheduling_pass: SchedulingPass,
+    view: WorkerView,
+    usage: WorkerUsage,
+    step: StepSpec,
+) -> float | None:
     if step.target_ms:
         return _compute_latency_critical_score(view, usage, step)
     score = compute_unused_millicores(view, usage)
@@ -552,6 +563,7 @@
 
 
 # Weights of the criteria for a worker; each outweighs all smaller ones.
+WEIGHT_UNHEALTHY = 1e10
 WEIGHT_DATA_RACK = 1e9
 WEIGHT_SHARED = 2e7
 WEIGHT_SAME_IMAGE = 1e7
--- a/cumintack/coordination/runs/run_orders.py
+++ b/cumintack/coordination/runs/run_orders.py
@@ -23,6 +23,7 @@
     RunOrder,
     RunOrders,
 )
+from cumintack.state.queues import get_health_path
 from cumintack.state.workflows import (
     WorkflowStatus,
     WorkflowTables,
@@ -111,6 +112,7 @@
         list_learned_weights(placed_runs, context.interference),
         tuple(earlier) if view.is_guard_restarted else (),
         view.fence,
+        get_health_path(tables.configuration, view.facts.pool),
     )
 
 
--- a/cumintack/coordination/runs/run_reconciliation.py
+++ b/cumintack/coordination/runs/run_reconciliation.py
@@ -129,6 +129,7 @@
     state.call_states = {}
     state.latest_poll = None
     state.pacing = PacingState()
+    state.is_unhealthy = False
 
 
 def record_incarnation_end(state: WorkerRunState, lifetime: str) -> None:
@@ -182,6 +183,8 @@
     state.wanted = {order.key: None for order in orders.wanted}
     state.stops = dict.fromkeys(orders.stops)
     record_weights(state.pacing, orders.weights)
+    state.health_path = orders.health_path
+    state.is_unhealthy = state.is_unhealthy and bool(orders.health_path)
     for order in orders.wanted:
         if order.details is not None:
             state.details.setdefault(order.key, order.details)
@@ -561,4 +564,5 @@
         state.needs_fence,
         is_fenced(state),
         max(0, state.late_leases_until_s - now_s),
+        state.is_unhealthy,
     )
--- a/cumintack/coordination/runs/stall_detection.py
+++ b/cumintack/coordination/runs/stall_detection.py
@@ -6,6 +6,9 @@
 and gang tasks are not taken as evidence, since they may rightly pause.
 """
 
+from cumintack.coordination.runs.health_evidence import (
+    UNHEALTHY_STALL_SHARE,
+)
 from cumintack.coordination.runs.worker_views import (
     PlacedRuns,
     ProgressMark,
@@ -60,7 +63,10 @@
     last_progress_at_s = max(
         (progress_marks[run].at_s for run in indicative), default=now_s
     )
-    if now_s - last_progress_at_s < STALL_TIMEOUT_S:
+    timeout_s = STALL_TIMEOUT_S
+    if view.is_unhealthy:
+        timeout_s *= UNHEALTHY_STALL_SHARE
+    if now_s - last_progress_at_s < timeout_s:
         return []
     view.excluded_until_s = max(view.excluded_until_s, now_s + COOLDOWN_S)
     return [
--- a/cumintack/coordination/runs/worker_run_state.py
+++ b/cumintack/coordination/runs/worker_run_state.py
@@ -256,6 +256,9 @@
         loss: The latest unplanned loss of the worker.
         refusals: The polls of this incarnation that were refused a connection,
             None if the latest one was not.
+        health_path: Path at which the worker answers health probes, empty if
+            it is not probed.
+        is_unhealthy: Whether this incarnation said last that it is unhealthy.
     """
 
     latest_lease_end_s: float
@@ -284,6 +287,8 @@
     pacing: PacingState = msgspec.field(default_factory=PacingState)
     loss: WorkerLoss | None = None
     refusals: RefusalSpan | None = None
+    health_path: str = ''
+    is_unhealthy: bool = False
 
 
 def get_running(state: WorkerRunState) -> set[RunKey]:
--- a/cumintack/coordination/runs/worker_views.py
+++ b/cumintack/coordination/runs/worker_views.py
@@ -100,6 +100,7 @@
         is_guard_restarted: Whether calls of a previous process of the guard
             may still take effect.
         is_evacuated: Whether its data centre is being evacuated.
+        is_unhealthy: Whether it said last that it is unhealthy.
         fence: Number of the latest fence given to the guard.
         accepts_from_s: When new runs may be placed on it, at the earliest.
         running: Runs that it lists as running.
@@ -133,6 +134,7 @@
     is_usable: bool = False
     is_guard_restarted: bool = False
     is_evacuated: bool = False
+    is_unhealthy: bool = False
     fence: int = 0
     accepts_from_s: float = float('-inf')
     running: dict[RunKey, RunningRun] = {}
--- a/cumintack/daemon/guard_threads_test.py
+++ b/cumintack/daemon/guard_threads_test.py
@@ -77,6 +77,10 @@
         now_s = time.monotonic()
         return CallAnswer(True, True, '', now_s, now_s)
 
+    def probe_health(self, worker_info: WorkerInfo, path: str) -> bool | None:
+        """Say that the worker is healthy."""
+        return True
+
     def _fail(self, name: str) -> None:
         self.failures[name] -= 1
         if self.failures[name] >= 0:
--- a/cumintack/daemon/metric_definitions.py
+++ b/cumintack/daemon/metric_definitions.py
@@ -36,6 +36,7 @@
     _count('guard.call-refused', 'Calls that the worker refused.'),
     _count('guard.call-unanswered', 'Calls that the worker did not answer.'),
     _count('guard.call-withdrawn', 'Calls that were no longer due when sent.'),
+    _count('guard.health-bad', 'Health probes answered as unhealthy.'),
     _count('guard.list-cut', 'Polls that leave out ends of runs.'),
     _count('guard.look-failed', 'Polls of the worker without an answer.'),
     _count('run.alone', 'Gang runs whose peers did not start in time.'),
--- a/cumintack/daemon/workflow_guard_component.py
+++ b/cumintack/daemon/workflow_guard_component.py
@@ -18,6 +18,7 @@
     list_due_calls,
     withdraw_call,
 )
+from cumintack.coordination.runs.health_evidence import record_health
 from cumintack.coordination.runs.run_reconciliation import (
     apply_orders,
     apply_poll_result,
@@ -50,6 +51,7 @@
     SettledEnds,
     StartRun,
     WorkerCall,
+    is_lost,
 )
 from cumintack.daemon.auto_reset_event import AutoResetEvent
 from cumintack.daemon.guard_logging import (
@@ -60,6 +62,7 @@
     log_token,
     log_unanswered_lease,
 )
+from cumintack.daemon.health_prober import HealthProber, HealthTarget
 from cumintack.daemon.node import Node
 from cumintack.daemon.settings import WorkflowGuardSettings
 from cumintack.protocol.messages import Message, NodeStatusReply
@@ -133,6 +136,9 @@
     def perform(self, worker_info: WorkerInfo, call: WorkerCall) -> CallAnswer:
         """Make a call to start, stop or pace a run."""
 
+    def probe_health(self, worker_info: WorkerInfo, path: str) -> bool | None:
+        """Return whether the worker says it is healthy, None without answer."""
+
 
 class PoolObserver(Protocol):
     """What decides by their pool which announcements count."""
@@ -152,6 +158,7 @@
         '_queued_calls',
         '_client',
         '_closed',
+        '_health_prober',
         '_lease_sent_until_s',
         '_is_closing',
         '_is_report_withheld',
@@ -197,6 +204,9 @@
         threading.Thread(target=self._poll_loop, daemon=True).start()
         for _ in range(settings.call_threads):
             threading.Thread(target=self._call_loop, daemon=True).start()
+        self._health_prober = HealthProber(
+            self._find_health_target, client.probe_health, self._post_health
+        )
 
     def listen(self, announcement_handler: HttpHandler) -> None:
         """Listen for announcements of the worker."""
@@ -579,6 +589,29 @@
         else:
             logger.info('guard: worker regained')
 
+    def _find_health_target(self) -> HealthTarget | None:
+        runs = self._runs
+        worker_info = runs.facts
+        if worker_info is None or not runs.health_path:
+            return None
+        # A worker that is lost or gone is judged by its missing answers.
+        if runs.is_gone or is_lost(runs):
+            return None
+        return HealthTarget(worker_info, runs.health_path)
+
+    def _post_health(self, worker_info: WorkerInfo, is_healthy: bool) -> None:
+        self._node.post(lambda: self._record_health(worker_info, is_healthy))
+
+    def _record_health(self, worker_info: WorkerInfo, is_healthy: bool) -> None:
+        if not is_healthy:
+            self._node.metrics.count('guard.health-bad')
+        lifetime = worker_info.lifetime
+        if record_health(self._runs, lifetime, is_healthy=is_healthy):
+            logger.info(
+                'guard: worker health', lifetime=lifetime, is_healthy=is_healthy
+            )
+            self._send_report(self._node.clock.now_s())
+
     def _send_report(self, now_s: float) -> None:
         leader = self._node.calls.leader
         report = create_report(self._runs, now_s)
@@ -630,5 +663,6 @@
         """Stop the threads and the server."""
         self._is_closing = True
         self._poll_event.signal()
+        self._health_prober.close()
         if self._server is not None:
             self._server.stop()
--- a/cumintack/daemon/workflow_guard_component_test.py
+++ b/cumintack/daemon/workflow_guard_component_test.py
@@ -75,6 +75,10 @@
         self.is_released.wait(TIMEOUT_S)
         return CallAnswer(True, True, '', 0, 0)
 
+    def probe_health(self, worker_info: WorkerInfo, path: str) -> bool | None:
+        """Say that the worker is healthy."""
+        return True
+
 
 class FakeNode:
     """The parts of a node that a guard uses, with a loop run by the test."""
--- a/cumintack/platform/_wire.py
+++ b/cumintack/platform/_wire.py
@@ -96,6 +96,7 @@
         default=False,
     )
     is_standby: bool = msgspec.field(name='standby', default=False)
+    health_path: str = ''
 
 
 class WireLimits(msgspec.Struct, frozen=True):
--- a/cumintack/platform/components.py
+++ b/cumintack/platform/components.py
@@ -56,7 +56,8 @@
     assert settings is not None
     client = PlatformWorkerClient(
         settings.worker_address,
-        settings.call_threads + 1,
+        # One for polls and one for health probes, opened when first needed.
+        settings.call_threads + 2,
         node.clock,
     )
     component = WorkflowGuardComponent(node, settings, client)
--- a/cumintack/platform/fake_worker_test.py
+++ b/cumintack/platform/fake_worker_test.py
@@ -34,6 +34,7 @@
         self.extra_rows: list[object] = []
         self.refusal = ''
         self.raw_answer = b''
+        self.health_status = HTTPStatus.OK
         self.address = f'127.0.0.1:{find_free_port()}'
         self._server = HttpServer(self.address, self._respond, 4, 65536)
         self._server.start()
@@ -47,6 +48,8 @@
             return HttpResponse(HTTPStatus.OK, self.raw_answer)
         if request.headers.get('x-expect-instance') != INSTANCE:
             return self._answer(HTTPStatus.MISDIRECTED_REQUEST)
+        if request.method == 'GET':
+            return self._answer(self.health_status)
         body = json.loads(request.body)
         if body.get('fencing_token', 0) < self.token:
             return self._answer(HTTPStatus.CONFLICT, reason='fence')
--- a/cumintack/platform/operator_calls.py
+++ b/cumintack/platform/operator_calls.py
@@ -131,7 +131,12 @@
         wire.version,
         tuple(_decode_route(route) for route in wire.routes),
         tuple(
-            Pool(service.name, service.is_capacity_checked, service.is_standby)
+            Pool(
+                service.name,
+                service.is_capacity_checked,
+                service.is_standby,
+                service.health_path,
+            )
             for service in wire.services
         ),
         wire.limits.max_body_bytes,
--- a/cumintack/platform/worker_calls.py
+++ b/cumintack/platform/worker_calls.py
@@ -208,6 +208,17 @@
             return CallAnswer(False, False, '', sent_at_s, now_s, is_sent)
         return _decode_call_answer(sent.ok_value, sent_at_s, now_s)
 
+    def probe_health(self, worker_info: WorkerInfo, path: str) -> bool | None:
+        """Return whether the worker says it is healthy, None without answer."""
+        headers = {'X-Expect-Instance': worker_info.worker_id}
+        sent = self._client.send('GET', path, headers, b'', CALL_TIMEOUT_S)
+        if isinstance(sent, Err):
+            return None
+        status = sent.ok_value.status
+        if status == HTTPStatus.MISDIRECTED_REQUEST:
+            return None
+        return status == HTTPStatus.OK
+
 
 def _encode_token(token: FencingToken) -> int:
     return token.term * FENCES_PER_TERM + token.number
--- a/cumintack/platform/worker_calls_test.py
+++ b/cumintack/platform/worker_calls_test.py
@@ -1,7 +1,9 @@
 """Tests of the worker client against a fake worker."""
 
 from collections.abc import Iterator
+from http import HTTPStatus
 
+import msgspec
 import pytest
 from result import Err, Ok
 
@@ -163,3 +165,18 @@
     ]
     worker.ended.append([count + 1, 't', 1, 'exploded', ''])
     assert _poll(client).lists_all_ends is lists_all_ends
+
+
+# Guards against a worker that counts as unhealthy because it does not answer,
+# or because another worker answers at its address.
+def test_health_is_what_the_worker_says(worker: FakeWorker) -> None:
+    """A probe without an answer of this worker says nothing."""
+    client = PlatformWorkerClient(worker.address, 2, CLOCK)
+    assert client.probe_health(WORKER_INFO, '/health') is True
+    worker.health_status = HTTPStatus.SERVICE_UNAVAILABLE
+    assert client.probe_health(WORKER_INFO, '/health') is False
+    other = msgspec.structs.replace(WORKER_INFO, worker_id='i-other')
+    assert client.probe_health(other, '/health') is None
+    worker.close()
+    nowhere = PlatformWorkerClient('127.0.0.1:1', 2, CLOCK)
+    assert nowhere.probe_health(WORKER_INFO, '/health') is None
--- a/cumintack/protocol/run_messages.py
+++ b/cumintack/protocol/run_messages.py
@@ -93,6 +93,8 @@
             guard process that does not know the calls of the previous one.
         fence: Number of the fence within the term, 0 if the leader numbers
             none. With the term it is the fencing token of calls to the worker.
+        health_path: Path at which the worker answers health probes, empty if
+            it is not probed.
     """
 
     term: int
@@ -106,6 +108,7 @@
     weights: tuple[PairWeight, ...] = ()
     earlier: tuple[RunKey, ...] = ()
     fence: int = 0
+    health_path: str = ''
 
 
 class RunningRun(msgspec.Struct, frozen=True, array_like=True):
@@ -241,6 +244,7 @@
             processes of the guard and those meant for earlier incarnations.
         late_calls_for_s: How long calls like one that went unanswered here
             may prolong leases on other workers, 0 if none has.
+        is_unhealthy: Whether the worker said last that it is unhealthy.
     """
 
     sent_at_s: float
@@ -261,6 +265,7 @@
     needs_fence: bool = False
     is_fenced: bool = False
     late_calls_for_s: float = 0
+    is_unhealthy: bool = False
 
 
 class WorkflowQuery(msgspec.Struct, frozen=True, tag=True):
--- a/cumintack/state/queues.py
+++ b/cumintack/state/queues.py
@@ -61,11 +61,14 @@
         is_capacity_checked: Whether its workers refuse tasks that exceed
             their capacity.
         is_standby: Whether its machines are switched off.
+        health_path: Path at which its workers answer health probes, empty if
+            they are not probed.
     """
 
     name: str
     is_capacity_checked: bool = True
     is_standby: bool = False
+    health_path: str = ''
 
 
 class QueueConfiguration(msgspec.Struct, frozen=True):
@@ -111,6 +114,22 @@
     return longest
 
 
+def get_health_path(configuration: QueueConfiguration, pool: str) -> str:
+    """Get the path at which the workers of a pool answer health probes.
+
+    Args:
+        configuration: The configuration in force.
+        pool: Name of the pool.
+
+    Returns:
+        The path, empty if they are not probed.
+    """
+    for configured in configuration.pools:
+        if configured.name == pool:
+            return configured.health_path
+    return ''
+
+
 def _check_version(configuration: QueueConfiguration) -> list[str]:
     return [] if configuration.version > 0 else ['version must be positive']
 
