Placement can be packed, and keeps room for what waits

Small tasks went to the emptiest workers and took every gap, so that a task that needs a large part of a worker could wait for as long as small ones kept coming. Best-effort tasks filled the workers without latency-critical tasks first, also those that run as well beside them, and slow runs moved to workers on which they were soon as slow.

With placement packed, tasks that reserve CPU go to the smallest gap that holds them. Room is kept for waiting tasks of the most urgent queues that fit nowhere, on the workers where they will fit soonest by the predicted ends of runs; others are backfilled beside it or if they end before. Best-effort tasks go beside latency-critical ones with which they were seen to interfere little, and slow runs move only to such workers or to workers without any. The default is as before. Remaining work is weighted by the size of a workflow.

--- a/cumintack/coordination/runs/candidate_index.py
+++ b/cumintack/coordination/runs/candidate_index.py
@@ -301,9 +301,11 @@
         StepSpec(
             1,
             step.need,
+            step.estimate_ms,
             label=step.label,
             data_rack=step.data_rack,
             max_per_worker=step.max_per_worker,
+            is_long_running=step.is_long_running,
             image=step.image if depends_on_image else '',
             target_ms=step.target_ms,
             is_best_effort=step.is_best_effort,
--- a/cumintack/coordination/runs/migration.py
+++ b/cumintack/coordination/runs/migration.py
@@ -22,7 +22,10 @@
     SchedulingPass,
     find_candidate,
 )
-from cumintack.coordination.runs.speed_estimate import estimate_speed
+from cumintack.coordination.runs.speed_estimate import (
+    estimate_speed,
+    is_insensitive,
+)
 from cumintack.coordination.runs.worker_views import (
     PlacedRun,
     PlacedRuns,
@@ -210,6 +213,11 @@
     if best is None or best is view:
         return None
     usage = get_usage(scheduling_pass.index, scheduling_pass.tables, best)
+    if scheduling_pass.is_packed and not is_insensitive(
+        scheduling_pass.interference, usage, placed.step
+    ):
+        # It would be slowed there too as soon as the load rises.
+        return None
     speed_there = estimate_speed(
         scheduling_pass.interference, best, usage, placed.step
     )
--- a/cumintack/coordination/runs/placement.py
+++ b/cumintack/coordination/runs/placement.py
@@ -35,7 +35,18 @@
     is_on_probation,
 )
 from cumintack.coordination.runs.interference_model import InterferenceModel
-from cumintack.coordination.runs.speed_estimate import estimate_speed
+from cumintack.coordination.runs.speed_estimate import (
+    estimate_speed,
+    is_insensitive,
+)
+from cumintack.coordination.runs.waiting.room_reservation import (
+    Reservations,
+    WaitingDemand,
+    consume_spare,
+    forecast_room,
+    may_use_room,
+    plan_reservations,
+)
 from cumintack.coordination.runs.waiting.step_ranking import StepRank
 from cumintack.coordination.runs.worker_views import (
     WorkerUsage,
@@ -102,6 +113,10 @@
         migrated_tasks: Tasks that the pass has placed to end a migration.
         min_speed: Share of its full speed below which a best-effort task waits
             for free capacity.
+        is_packed: Whether tasks that reserve CPU go to the smallest gap that
+            holds them, and best-effort tasks to latency-critical ones that are
+            insensitive to them.
+        reservations: Room that is kept for waiting tasks.
     """
 
     tables: WorkflowTables
@@ -115,6 +130,8 @@
     exhausted_kinds: set[TaskKind] = set()
     migrated_tasks: set[TaskKey] = set()
     min_speed: float = MIN_SPEED
+    is_packed: bool = False
+    reservations: Reservations = {}
 
 
 class TaskRequest(msgspec.Struct, frozen=True):
@@ -203,6 +220,62 @@
     return scheduling_pass.starts
 
 
+def reserve_room(
+    scheduling_pass: SchedulingPass, ranks: list[StepRank]
+) -> Reservations:
+    """Keep room for the first waiting tasks that fit nowhere.
+
+    Args:
+        scheduling_pass: A scheduling pass after the placement of what fits.
+        ranks: The waiting steps in the order in which they are placed.
+
+    Returns:
+        The new reservations.
+    """
+    demands = _list_unmet_demands(scheduling_pass, ranks)
+    if not demands:
+        return {}
+    tables = scheduling_pass.tables
+    now_s = scheduling_pass.now_s
+    pools = {demand.kind.pool for demand in demands}
+    forecasts = []
+    for view in scheduling_pass.views.values():
+        if view.facts.pool not in pools or not is_schedulable(view, now_s):
+            continue
+        usage = get_usage(scheduling_pass.index, tables, view)
+        placed_runs = get_placed_runs(scheduling_pass.index, tables, view.guard)
+        free = compute_free_resources(view, usage)
+        forecasts.append(forecast_room(view, free, placed_runs, now_s))
+    return plan_reservations(demands, forecasts, _is_eligible, now_s)
+
+
+def _list_unmet_demands(
+    scheduling_pass: SchedulingPass, ranks: list[StepRank]
+) -> list[WaitingDemand]:
+    """List the waiting tasks of the most urgent queues that fit nowhere."""
+    tables = scheduling_pass.tables
+    demands = []
+    for rank in ranks:
+        kind = get_task_kind(scheduling_pass.index, tables, rank.key)
+        step = kind.step
+        is_unmet = kind in scheduling_pass.exhausted_kinds
+        if not is_unmet or step.is_best_effort:
+            continue
+        if rank.priority > _get_best_priority(tables, kind.pool):
+            continue
+        count = len(tables.index.waiting[rank.key].indexes)
+        demands.append(WaitingDemand(rank.key, kind, count))
+    return demands
+
+
+def _get_best_priority(tables: WorkflowTables, pool: str) -> int:
+    return min(
+        queue.priority
+        for queue in tables.configuration.queues
+        if queue.pool == pool
+    )
+
+
 def _place_step(scheduling_pass: SchedulingPass, key: StepKey) -> None:
     tables = scheduling_pass.tables
     kind = get_task_kind(scheduling_pass.index, tables, key)
@@ -392,6 +465,7 @@
     run: int,
 ) -> None:
     view.trial_placed_at_s = scheduling_pass.now_s
+    consume_spare(scheduling_pass.reservations, view.guard, request.kind)
     task_id = format_task_id(request.key)
     add_proposed_start(
         scheduling_pass.index, scheduling_pass.tables, view.guard, task_id
@@ -506,6 +580,9 @@
     """Return the score of a worker, None if it cannot run the task."""
     if not _can_run(view, usage, kind):
         return None
+    reservation = scheduling_pass.reservations.get(view.guard)
+    if not may_use_room(reservation, kind, scheduling_pass.now_s):
+        return None
     if is_on_probation(view, scheduling_pass.now_s):
         if view.trial_placed_at_s >= view.excluded_until_s:
             return None
@@ -524,6 +601,8 @@
     if step.target_ms:
         return _compute_latency_critical_score(view, usage, step)
     score = compute_unused_millicores(view, usage)
+    if scheduling_pass.is_packed and not step.is_best_effort:
+        score = -float(compute_free_resources(view, usage).cores_milli)
     if step.data_rack and step.data_rack == get_rack(view.facts):
         score += WEIGHT_DATA_RACK
     if step.is_best_effort:
@@ -531,6 +610,11 @@
         if speed < scheduling_pass.min_speed:
             return None
         score += WEIGHT_SPEED * speed
+        if scheduling_pass.is_packed and usage.latency_margins:
+            is_bearing = is_insensitive(
+                scheduling_pass.interference, usage, step
+            )
+            score += WEIGHT_INSENSITIVE * is_bearing
     return score
 
 
@@ -574,6 +658,9 @@
 WEIGHT_DATA_RACK = 1e9
 WEIGHT_SHARED = 2e7
 WEIGHT_SAME_IMAGE = 1e7
+# Workers without latency-critical tasks are left to the best-effort tasks that
+# run well nowhere else.
+WEIGHT_INSENSITIVE = 1e7
 WEIGHT_SPEED = 1e6
 
 
--- a/cumintack/coordination/runs/run_leadership.py
+++ b/cumintack/coordination/runs/run_leadership.py
@@ -55,6 +55,7 @@
     SchedulingPass,
     place_migrated,
     place_waiting,
+    reserve_room,
 )
 from cumintack.coordination.runs.run_ends import (
     RunEndDetector,
@@ -65,6 +66,10 @@
     create_run_orders,
 )
 from cumintack.coordination.runs.stall_detection import detect_stalled_runs
+from cumintack.coordination.runs.waiting.room_reservation import (
+    RESERVATION_INTERVAL_S,
+    Reservations,
+)
 from cumintack.coordination.runs.waiting.run_time_estimates import (
     RunTimeModel,
     observe_run_times,
@@ -75,6 +80,7 @@
     CachedRank,
     RemainingWorkOrder,
     StepOrder,
+    StepRank,
     rank_waiting_steps,
 )
 from cumintack.coordination.runs.unanswered_calls import MAX_CALL_DELAY_S
@@ -136,11 +142,14 @@
             leases after this one began to lead.
         is_ordered_by_work: Whether waiting steps are placed in the order of
             their remaining work, not of their due times.
+        is_packed: Whether tasks are packed into the smallest gaps, and room is
+            kept for waiting tasks that fit nowhere.
     """
 
     lease_s: float
     previous_leader_grant_s: float
     is_ordered_by_work: bool = False
+    is_packed: bool = False
 
 
 class RunLeadership(msgspec.Struct):
@@ -176,6 +185,8 @@
             by the task that is being migrated.
         losses: The latest unplanned loss of each worker, by guard.
         run_times: Estimates of run times.
+        reservations: Room that is kept for waiting tasks.
+        reserve_at_s: When the reservations are next decided.
     """
 
     settings: RunSettings
@@ -204,6 +215,8 @@
     reserved_guards: dict[str, str] = {}
     losses: dict[str, SeenLoss] = {}
     run_times: RunTimeModel = msgspec.field(default_factory=RunTimeModel)
+    reservations: Reservations = {}
+    reserve_at_s: float = 0
 
 
 RunEffect = Send | ProposeAsLeader
@@ -855,6 +868,8 @@
             if leadership.settings.is_ordered_by_work
             else MIN_SPEED
         ),
+        is_packed=leadership.settings.is_packed,
+        reservations=leadership.reservations,
     )
 
 
@@ -871,6 +886,7 @@
     now_ms: float,
 ) -> list[RunEffect]:
     if not tables.index.waiting and not leadership.reserved_guards:
+        _replace_reservations(leadership, {})
         return []
     scheduling_pass = _create_pass(leadership, tables, now_s)
     place_migrated(scheduling_pass, leadership.reserved_guards)
@@ -878,6 +894,7 @@
         leadership.cached_ranks, tables, now_ms, _get_step_order(leadership)
     )
     starts = place_waiting(scheduling_pass, ranks)
+    _update_reservations(leadership, scheduling_pass, ranks)
     if not starts:
         return []
     for start in starts:
@@ -890,6 +907,29 @@
     ]
 
 
+def _update_reservations(
+    leadership: RunLeadership,
+    scheduling_pass: SchedulingPass,
+    ranks: list[StepRank],
+) -> None:
+    now_s = scheduling_pass.now_s
+    is_reserving = leadership.settings.is_packed
+    if not is_reserving or now_s < leadership.reserve_at_s:
+        return
+    leadership.reserve_at_s = now_s + RESERVATION_INTERVAL_S
+    _replace_reservations(leadership, reserve_room(scheduling_pass, ranks))
+
+
+def _replace_reservations(
+    leadership: RunLeadership, reservations: Reservations
+) -> None:
+    changed = dict.fromkeys(leadership.reservations)
+    changed.update(dict.fromkeys(reservations))
+    leadership.reservations = reservations
+    for guard in changed:
+        mark_changed(leadership.index, guard)
+
+
 def _send_orders(
     leadership: RunLeadership,
     tables: WorkflowTables,
--- a/cumintack/coordination/runs/speed_estimate.py
+++ b/cumintack/coordination/runs/speed_estimate.py
@@ -12,6 +12,7 @@
     MILLI_PER_CORE,
     InterferenceModel,
     get_weight,
+    is_learned,
 )
 from cumintack.coordination.runs.pacing import MIN_INTERFERENCE
 from cumintack.coordination.runs.worker_views import (
@@ -21,6 +22,9 @@
 )
 from cumintack.state.workflows import StepSpec
 
+# Margin that a task may take from a latency-critical one and still count as
+# insensitive: the latter's own load takes several times as much within seconds.
+MAX_SLIGHT_INTERFERENCE = 0.2
 # Margin that must be left to a latency-critical task when a best-effort task
 # that interferes with it starts at full speed: above the margin that pacing
 # aims at, by what its own load takes during a run of some seconds.
@@ -57,3 +61,27 @@
             return 0
     unused = compute_unused_millicores(view, usage) / MILLI_PER_CORE
     return min(1, unused / cores) if cores else 1
+
+
+def is_insensitive(
+    interference: InterferenceModel, usage: WorkerUsage, step: StepSpec
+) -> bool:
+    """Tell whether the latency-critical tasks of a worker bear a task.
+
+    Args:
+        interference: The interference model of pairs of images.
+        usage: The usage of the worker.
+        step: The specification of the step of the task.
+
+    Returns:
+        Whether the learned interference with each of them is slight, so that
+        the task is not slowed when their load rises; true also if there are
+        none.
+    """
+    cores = step.need.cores_milli / MILLI_PER_CORE
+    return all(
+        is_learned(interference, image, step.image)
+        and get_weight(interference, image, step.image) * cores
+        <= MAX_SLIGHT_INTERFERENCE
+        for image, _margin in usage.latency_margins
+    )
--- a/cumintack/coordination/runs/waiting/remaining_work.py
+++ b/cumintack/coordination/runs/waiting/remaining_work.py
@@ -31,11 +31,13 @@
         path_s: Its critical path from now on, in seconds at full speed.
         whole_path_s: The critical path of all its steps.
         work_core_s: The work that is left, in core-seconds.
+        whole_work_core_s: The work of all its steps.
     """
 
     path_s: float
     whole_path_s: float
     work_core_s: float
+    whole_work_core_s: float
 
 
 class StepRemainder(msgspec.Struct, frozen=True):
@@ -45,11 +47,13 @@
         run_time_s: Estimated run time of a task.
         left_s: Time until the step is done if all its tasks ran now.
         work_core_s: The work that is left, in core-seconds.
+        whole_work_core_s: The work of all its tasks.
     """
 
     run_time_s: float
     left_s: float
     work_core_s: float
+    whole_work_core_s: float
 
 
 def assess_remaining_work(
@@ -83,6 +87,7 @@
         _compute_path_s(steps, [left.left_s for left in remainders]),
         _compute_path_s(steps, [left.run_time_s for left in remainders]),
         sum(left.work_core_s for left in remainders),
+        sum(left.whole_work_core_s for left in remainders),
     )
 
 
@@ -101,7 +106,13 @@
         left_s = run_time_s * RUNNING_SHARE
     cores = get_step(tables, key).need.cores_milli / MILLI_PER_CORE
     tasks_left = unstarted + running * RUNNING_SHARE
-    return StepRemainder(run_time_s, left_s, tasks_left * cores * run_time_s)
+    work_core_s = cores * run_time_s
+    return StepRemainder(
+        run_time_s,
+        left_s,
+        tasks_left * work_core_s,
+        len(record.tasks) * work_core_s,
+    )
 
 
 def _count_left(
--- a/cumintack/coordination/runs/waiting/step_ranking.py
+++ b/cumintack/coordination/runs/waiting/step_ranking.py
@@ -8,9 +8,9 @@
 counts from the declared run times. This suits a load that fits: when it does
 not, room goes to workflows that end late anyway, and those behind them become
 late too. By remaining work, workflows that can still be in time go first, and
-of these the one with the least work left, by estimated run times: more
-workflows are then in time under overload, and a workflow whose declared run
-time is too short does not count as late.
+of these the one with the least work left for its size, by estimated run times:
+more workflows are then in time under overload, and a workflow whose declared
+run time is too short does not count as late.
 """
 
 import msgspec
@@ -33,6 +33,10 @@
 # which those of other steps are removed.
 MAX_CACHE_FACTOR = 2
 MIN_CACHE_SIZE = 64
+# Exponent of the whole work of a workflow, by which its remaining work is
+# divided. With 0, large workflows come after all small ones; with 1, their size
+# does not count, and fewer workflows are in time.
+SIZE_EXPONENT = 0.7
 # Ms for which a rank by remaining work is used; a task takes seconds.
 WORK_RANK_INTERVAL_MS = 250
 
@@ -42,7 +46,7 @@
 
 
 class RemainingWorkOrder(msgspec.Struct, frozen=True):
-    """Least remaining work first among those that can still be in time.
+    """Least remaining work for its size first, if it can still be in time.
 
     Attributes:
         run_times: The estimates of run times.
@@ -62,15 +66,15 @@
         priority: Priority of the queue.
         lateness: 0 while an end in time is expected, 1 while a late end still
             has value, 2 after that.
-        work_core_s: Remaining work of the workflow in core-seconds; 0 if that
-            does not count.
+        weighted_work: Remaining work of the workflow over a power of its whole
+            work, both in core-seconds; 0 if that does not count.
         due_ms: When the workflow should be complete, in ms since 1970.
         key: The step, to break ties.
     """
 
     priority: int
     lateness: int
-    work_core_s: float
+    weighted_work: float
     due_ms: float
     key: StepKey
 
@@ -242,7 +246,7 @@
     return StepRank(
         queue.priority,
         lateness,
-        left.work_core_s,
+        left.work_core_s / max(1, left.whole_work_core_s) ** SIZE_EXPONENT,
         start_ms + objective_ms,
         key,
     )
--- a/cumintack/daemon/control_component.py
+++ b/cumintack/daemon/control_component.py
@@ -38,7 +38,11 @@
     create_error_answer,
 )
 from cumintack.daemon.node import Node
-from cumintack.daemon.settings import STEP_ORDER_WORK, ControlSettings
+from cumintack.daemon.settings import (
+    PLACEMENT_PACKED,
+    STEP_ORDER_WORK,
+    ControlSettings,
+)
 from cumintack.daemon.workflow_coordinator import WorkflowCoordinator
 from cumintack.protocol.messages import (
     ChangeReplica,
@@ -193,6 +197,7 @@
                 settings.run_lease_ms / 1000,
                 settings.election_timeout_ms * 2 / 1000,
                 is_ordered_by_work=settings.step_order == STEP_ORDER_WORK,
+                is_packed=settings.placement == PLACEMENT_PACKED,
             ),
         )
 
--- a/cumintack/daemon/metric_definitions.py
+++ b/cumintack/daemon/metric_definitions.py
@@ -49,6 +49,7 @@
     _count('run.placed', 'Runs assigned to a worker.'),
     _count('run.refused', 'Runs that did not start at their worker.'),
     _count('run.stopped', 'Runs that were stopped.'),
+    _count('placement.room-reserved', 'Steps for which room was kept.'),
     _count('run-time.learned', 'Steps whose run time was first observed.'),
     _count('workflow.cancelled', 'Workflows cancelled.'),
     _count(
--- a/cumintack/daemon/settings.py
+++ b/cumintack/daemon/settings.py
@@ -29,6 +29,9 @@
 POLICY_NAMES = ('expected-time', 'round-robin')
 STEP_ORDER_DUE_TIME = 'due-time'
 STEP_ORDER_WORK = 'remaining-work'
+PLACEMENT_SPREAD = 'spread'
+PLACEMENT_PACKED = 'packed'
+PLACEMENTS = (PLACEMENT_SPREAD, PLACEMENT_PACKED)
 STEP_ORDERS = (STEP_ORDER_DUE_TIME, STEP_ORDER_WORK)
 TOKEN_ROLES = ('reader', 'operator', 'administrator')
 
@@ -76,6 +79,10 @@
             empty if any name is accepted.
         step_order: Order in which waiting steps are placed: ``due-time``, or
             ``remaining-work`` for deployments that are overloaded at times.
+        placement: How workers are chosen: ``spread``, or ``packed``, which
+            fills the smallest gaps first, keeps room for waiting tasks that
+            fit nowhere yet, and puts best-effort tasks beside insensitive
+            latency-critical ones.
     """
 
     data_folder: str
@@ -93,6 +100,7 @@
     run_lease_ms: int = 8000
     data_centres: dict[str, str] = {}
     step_order: str = STEP_ORDER_DUE_TIME
+    placement: str = PLACEMENT_SPREAD
 
 
 class EntrySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -451,6 +459,11 @@
             f'control.step_order: {control.step_order!r} is not one of '
             + ', '.join(STEP_ORDERS)
         )
+    if control is not None and control.placement not in PLACEMENTS:
+        problems.append(
+            f'control.placement: {control.placement!r} is not one of '
+            + ', '.join(PLACEMENTS)
+        )
     if settings.guard and settings.guard.worker != settings.name:
         problems.append('guard.worker: must be the name of the process')
     return problems
--- a/cumintack/daemon/settings_test.py
+++ b/cumintack/daemon/settings_test.py
@@ -42,6 +42,9 @@
     f'{VALID}metrics_address: "127.0.0.1:99999"',
     f'{VALID}workflow_guard: {{http_address: "a:0", worker_address: "a:-1"}}',
     f'{BASE}{ENTRY}\nseeds: ["10.0.0.1:1"]\nlink_port: 65536',
+    f'{VALID}control: {{data_folder: data, step_order: random}}',
+    f'{VALID}control: {{data_folder: data, placement: dense}}',
+    f'{VALID}control: {{data_folder: data, data_centres: [north-yard]}}',
     '- a',
 )
 
--- a/cumintack/daemon/workflow_coordinator.py
+++ b/cumintack/daemon/workflow_coordinator.py
@@ -22,6 +22,7 @@
     log_expired_leases,
     log_learned_run_times,
     log_operation,
+    log_reservations,
     log_reported_losses,
     log_stop_requests,
     log_undecided_runs,
@@ -38,6 +39,7 @@
 from cumintack.state.workflows import (
     NO_EVACUATION,
     RecordRuns,
+    StepKey,
     WorkflowRecord,
     WorkflowStatus,
     WorkflowTables,
@@ -68,6 +70,7 @@
 
     __slots__ = (
         '_leadership',
+        '_logged_reservations',
         '_node',
         '_read_id',
         '_settings',
@@ -86,6 +89,7 @@
         self._pending: dict[int, PendingReadQuery] = {}
         self._pools: tuple[str, ...] = ()
         self._pools_version = 0
+        self._logged_reservations: set[StepKey] = set()
         self.advice_requester = AdviceRequester(node)
 
     def begin_leading(self, term: int, now_s: float) -> None:
@@ -139,6 +143,11 @@
         effects = handle_run_tick(self._leadership, tables, now_s, now_ms)
         log_expired_leases(effects, self._leadership, now_s)
         log_learned_run_times(self._leadership.run_times, self._node.metrics)
+        log_reservations(
+            self._leadership.reservations,
+            self._logged_reservations,
+            self._node.metrics,
+        )
         self.advice_requester.tick(self._leadership, tables, now_s, now_ms)
         log_stop_requests(self._leadership.stop_reasons, logged)
         return effects
--- a/cumintack/daemon/workflow_logging.py
+++ b/cumintack/daemon/workflow_logging.py
@@ -7,6 +7,7 @@
     RunEffect,
     RunLeadership,
 )
+from cumintack.coordination.runs.waiting.room_reservation import Reservations
 from cumintack.coordination.runs.waiting.run_time_estimates import (
     RunTimeModel,
 )
@@ -24,6 +25,7 @@
     RunEnd,
     RunEndKind,
     SetEvacuation,
+    StepKey,
     StepSpec,
     WorkflowStatus,
     WorkflowTables,
@@ -224,6 +226,37 @@
     model.learned.clear()
 
 
+def log_reservations(
+    reservations: Reservations, logged: set[StepKey], metrics: Metrics
+) -> None:
+    """Log and count each step for which room is first kept.
+
+    Args:
+        reservations: The present reservations.
+        logged: Steps that were logged before; those without a reservation are
+            removed.
+        metrics: The metrics of the process.
+    """
+    reserved_steps = set()
+    for guard, reservation in reservations.items():
+        step_key = reservation.step_key
+        reserved_steps.add(step_key)
+        if step_key in logged:
+            continue
+        logged.add(step_key)
+        metrics.count('placement.room-reserved')
+        need = reservation.kind.step.need
+        logger.info(
+            'control: room reserved',
+            workflow=step_key.workflow_id,
+            step=step_key.step,
+            cores_milli=need.cores_milli,
+            memory_mb=need.memory_mb,
+            guard=guard,
+        )
+    logged.intersection_update(reserved_steps)
+
+
 def log_expired_leases(
     effects: list[RunEffect], leadership: RunLeadership, now_s: float
 ) -> None:
