--- a/soak/callers.py
+++ b/soak/callers.py
@@ -18,6 +18,7 @@
 from cumintack.state.workflows import StepSpec
 from cumintack.transport.http_client import HttpAnswer, HttpClient
 from soak import oracle
+from soak.plan import EVACUATED
 from soak.worker import POOL
 
 HOST = 'desk.example'
@@ -152,9 +153,16 @@
 
 
 class Operator:
-    """Operator that replaces the queues with newer versions and reads them."""
-
-    __slots__ = ('_clients', '_history', '_rng', '_version')
+    """Operator that replaces and reads the queues, and evacuates workers."""
+
+    __slots__ = (
+        '_clients',
+        '_history',
+        '_is_evacuation_open',
+        '_is_evacuating',
+        '_rng',
+        '_version',
+    )
 
     def __init__(
         self,
@@ -167,11 +175,19 @@
         self._history = history
         self._rng = random.Random(seed)
         self._version = 0
+        self._is_evacuating = False
+        # Whether the latest request has yet to be acknowledged.
+        self._is_evacuation_open = False
 
     def perform_action(self) -> None:
-        """Replace the queues or read them, chosen at random."""
+        """Replace the queues, read them or evacuate, chosen at random."""
         is_first = not self._history.acknowledged_version
-        if is_first or self._rng.randrange(10) < 3:
+        if self._is_evacuation_open:
+            self._request_evacuation()
+        elif not is_first and not self._rng.randrange(12):
+            self._is_evacuating = not self._is_evacuating
+            self._request_evacuation()
+        elif is_first or self._rng.randrange(10) < 3:
             self._replace_configuration()
         else:
             self.read_configuration()
@@ -195,6 +211,20 @@
         if answer is not None and answer.status in OK_STATUSES:
             self._history.acknowledged_version = self._version
 
+    def _request_evacuation(self) -> None:
+        """Begin or end the evacuation, again until it is acknowledged."""
+        self._is_evacuation_open = True
+        evacuated_since_s = self._history.evacuated_since_s
+        if not self._is_evacuating:
+            evacuated_since_s.pop(EVACUATED, None)
+        change = 'start' if self._is_evacuating else 'end'
+        answer = self._send('POST', f'/v1/evacuation/{EVACUATED}/{change}')
+        if answer is None or answer.status not in OK_STATUSES:
+            return
+        self._is_evacuation_open = False
+        if self._is_evacuating:
+            evacuated_since_s.setdefault(EVACUATED, time.monotonic())
+
     def read_configuration(self) -> bool:
         """Read the queues; return whether there was an answer."""
         min_version = self._history.acknowledged_version
--- a/soak/oracle.py
+++ b/soak/oracle.py
@@ -19,6 +19,9 @@
 # the workflow may start: 3 s are allowed, calls may be executed 12 s late, and
 # those of a paused process are later by the length of the pause.
 MAX_START_AFTER_CANCEL_S = 25.0
+# The same after the acknowledgement of an evacuation: 5 s are allowed, and
+# calls are executed late as after a cancellation.
+MAX_START_AFTER_EVACUATION_S = 27.0
 ZERO = Resources(0, 0)
 
 
@@ -95,15 +98,20 @@
 
     Attributes:
         capacities: Capacity of each worker, by the name of its guard.
+        data_centres: Data centre of each worker, by the name of its guard.
         workflows: Workflows by identifier.
         acknowledged_version: Highest acknowledged configuration version.
+        evacuated_since_s: When the evacuation of a data centre was
+            acknowledged, until its end is requested.
         violations: Violated invariants.
         start_count: Number of runs started.
     """
 
     capacities: dict[str, Resources]
+    data_centres: dict[str, str] = {}
     workflows: dict[str, ObservedWorkflow] = {}
     acknowledged_version: int = 0
+    evacuated_since_s: dict[str, float] = {}
     violations: list[Violation] = []
     start_count: int = 0
 
@@ -152,6 +160,7 @@
             task_id,
             f'{delay_s:.1f} s after its cancellation',
         )
+    _check_evacuation(history, worker, task_id, now_s)
     task.highest_run = max(task.highest_run, number)
     need = workflow.steps[key.step_key.step].need
     task.active_runs.append(ObservedRun(worker, number, need))
@@ -206,6 +215,21 @@
                 )
 
 
+def _check_evacuation(
+    history: History, worker: str, task_id: str, now_s: float
+) -> None:
+    data_centre = history.data_centres.get(worker, '')
+    since_s = history.evacuated_since_s.get(data_centre, now_s)
+    if now_s - since_s > MAX_START_AFTER_EVACUATION_S:
+        _add_violation(
+            history,
+            'evacuation',
+            task_id,
+            f'started in {data_centre} {now_s - since_s:.1f} s after its '
+            'evacuation was acknowledged',
+        )
+
+
 def _check_capacity(history: History, worker: str, task_id: str) -> None:
     total = ZERO
     for workflow in history.workflows.values():
--- a/soak/oracle_test.py
+++ b/soak/oracle_test.py
@@ -39,6 +39,19 @@
     oracle.record_start(history, worker, started, 100)
 
 
+def test_start_after_an_evacuation_is_detected() -> None:
+    """Only in the evacuated data centre, and only a while after the request."""
+    for now_s, rules in ((110, set()), (160, {'evacuation'})):
+        history = _create_history()
+        history.data_centres['guard-1'] = 'south-yard'
+        history.evacuated_since_s['south-yard'] = 100
+        started = (FIRST, 1, PROGRAM, '')
+        oracle.record_start(history, 'guard-1', started, now_s)
+        assert _list_rules(history) == rules
+        oracle.record_start(history, 'guard-2', (FIRST, 2, PROGRAM, ''), now_s)
+        assert _list_rules(history) == rules | {'twice'}
+
+
 def _list_rules(history: oracle.History) -> set[str]:
     return {violation.rule for violation in history.violations}
 
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -11,6 +11,14 @@
 CONTROL_NAMES = ('control-1', 'control-2', 'control-3')
 ENTRY_NAMES = ('entry-1', 'entry-2')
 GUARD_NAMES = ('guard-1', 'guard-2', 'guard-3', 'guard-4')
+# Data centre of the worker of each guard; the operator evacuates the second.
+DATA_CENTRES = {
+    'guard-1': 'north-yard',
+    'guard-2': 'north-yard',
+    'guard-3': 'south-yard',
+    'guard-4': 'south-yard',
+}
+EVACUATED = 'south-yard'
 # Kinds of faults by target. Faults that lose a disk or a whole replica are at
 # least ``RECOVERY_S`` apart, since the system is only required to survive one.
 PROCESS_FAULTS = ('kill', 'pause', 'stop')
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -13,6 +13,7 @@
 from soak.callers import Caller, Operator
 from soak.group import Group
 from soak.plan import (
+    DATA_CENTRES,
     GUARD_NAMES,
     ROUTE_FAULTS,
     WORKER_FAULTS,
@@ -73,7 +74,7 @@
         self._is_finished = threading.Event()
         self._lock = threading.RLock()
         self._history = oracle.History(
-            {name: WORKER_CAPACITY for name in GUARD_NAMES}
+            {name: WORKER_CAPACITY for name in GUARD_NAMES}, DATA_CENTRES
         )
         guards = {name: f'127.0.0.1:{find_free_port()}' for name in GUARD_NAMES}
         self._workers = {
--- a/soak/worker.py
+++ b/soak/worker.py
@@ -28,6 +28,7 @@
     find_free_port,
 )
 from soak import oracle
+from soak.plan import DATA_CENTRES
 
 POOL = 'pool'
 TICK_S = 0.02
@@ -167,7 +168,7 @@
             heartbeat = WireHeartbeat(
                 pool=POOL,
                 address=self.address,
-                data_centre='north-yard',
+                data_centre=DATA_CENTRES[self.name],
                 software='v1',
                 slots=8,
                 state=state,
