--- a/cumintack/daemon/settings.py
+++ b/cumintack/daemon/settings.py
@@ -6,7 +6,7 @@
 """
 
 import pathlib
-from typing import Any, TypeVar
+from typing import Any, Literal, TypeVar
 
 import msgspec
 import yaml
@@ -76,7 +76,7 @@
             that a torn write at the end of the log was never acknowledged.
         run_lease_ms: Duration of the lease of a worker for its runs.
         data_centres: Region of each data centre that an operator may evacuate;
-            empty if any name is accepted.
+            null or an empty text, as templates give it, for any name.
         step_order: Order in which waiting steps are placed: ``due-time``, or
             ``remaining-work`` for deployments that are overloaded at times.
         placement: How workers are chosen: ``spread``, or ``packed``, which
@@ -98,7 +98,7 @@
     tolerated_losses: int = 1
     is_sync_trusted: bool = False
     run_lease_ms: int = 8000
-    data_centres: dict[str, str] = {}
+    data_centres: dict[str, str] | Literal[''] | None = None
     step_order: str = STEP_ORDER_DUE_TIME
     placement: str = PLACEMENT_SPREAD
 
--- a/cumintack/platform/components.py
+++ b/cumintack/platform/components.py
@@ -83,5 +83,5 @@
 
     control = node.settings.control
     assert control is not None
-    calls = OperatorCalls(LeaderGateway(node), control.data_centres)
+    calls = OperatorCalls(LeaderGateway(node), control.data_centres or {})
     return OperatorComponent(control.operator_address, calls.respond)
--- a/cumintack/platform/deploy_test.py
+++ b/cumintack/platform/deploy_test.py
@@ -53,6 +53,22 @@
     assert settings.control_replicas[0].address == '10.1.0.17:7720'
 
 
+# Guards against a control group that does not start where the platform names
+# no data centres.
+@pytest.mark.parametrize('rendered', ['null', '""', '{}'])
+def test_platform_without_data_centres_gives_valid_settings(
+    rendered: str,
+) -> None:
+    """Any data centre may be evacuated then."""
+    text = (ROOT / 'deploy' / 'control.yaml').read_text(encoding='utf-8')
+    known = {**PLACEHOLDER_VALUES, 'zones|json': rendered}
+    filled = PLACEHOLDER.sub(lambda match: known[match[1]], text)
+    parsed = parse_settings(filled, 'control')
+    assert isinstance(parsed, Ok), parsed
+    assert parsed.ok_value.control is not None
+    assert not parsed.ok_value.control.data_centres
+
+
 def test_every_role_has_a_template() -> None:
     """The template of each role in the deployment file exists."""
     text = (ROOT / 'deploy' / 'system.toml').read_text(encoding='utf-8')
