Split the state of the leader and the expiry of leases out of run_leadership

The code is moved unchanged: the state to run_leadership_state.py, what decides on silent guards to lease_expiry.py. A test of kept room under a new leader is added.

--- a/bench/scenario_leader_scale.py
+++ b/bench/scenario_leader_scale.py
@@ -17,12 +17,14 @@
 from cumintack.coordination.querying import Cell
 from cumintack.coordination.runs.run_leadership import (
     RunEffect,
-    RunLeadership,
-    RunSettings,
     handle_applied_run_operation,
     handle_report,
     handle_run_tick,
 )
+from cumintack.coordination.runs.run_leadership_state import (
+    RunLeadership,
+    RunSettings,
+)
 from cumintack.protocol.run_messages import (
     EndedRun,
     RunKey,
--- a/cumintack/coordination/runs/admission_advice_test.py
+++ b/cumintack/coordination/runs/admission_advice_test.py
@@ -14,12 +14,14 @@
 )
 from cumintack.coordination.runs.run_leadership import (
     RunEffect,
-    RunLeadership,
-    RunSettings,
     handle_applied_run_operation,
     handle_report,
     handle_run_tick,
 )
+from cumintack.coordination.runs.run_leadership_state import (
+    RunLeadership,
+    RunSettings,
+)
 from cumintack.protocol.run_messages import (
     ClosedRun,
     EndedRun,
--- a/cumintack/coordination/runs/candidate_index_machine_test.py
+++ b/cumintack/coordination/runs/candidate_index_machine_test.py
@@ -24,13 +24,15 @@
 )
 from cumintack.coordination.runs.run_leadership import (
     RunEffect,
-    RunLeadership,
-    RunSettings,
     handle_applied_run_operation,
     handle_report,
     handle_run_proposal_failure,
     handle_run_tick,
 )
+from cumintack.coordination.runs.run_leadership_state import (
+    RunLeadership,
+    RunSettings,
+)
 from cumintack.coordination.runs.worker_views import (
     WorkerView,
     add_task_usage,
--- a/cumintack/coordination/runs/capacity_test.py
+++ b/cumintack/coordination/runs/capacity_test.py
@@ -4,12 +4,14 @@
 
 from cumintack.coordination.effects import ProposeAsLeader, Send
 from cumintack.coordination.runs.run_leadership import (
-    RunLeadership,
-    RunSettings,
     handle_applied_run_operation,
     handle_report,
     handle_run_tick,
 )
+from cumintack.coordination.runs.run_leadership_state import (
+    RunLeadership,
+    RunSettings,
+)
 from cumintack.coordination.runs.run_reconciliation import record_worker_info
 from cumintack.coordination.runs.worker_run_state import WorkerRunState
 from cumintack.protocol.run_messages import (
--- a/cumintack/coordination/runs/crash_isolation_test.py
+++ b/cumintack/coordination/runs/crash_isolation_test.py
@@ -13,12 +13,14 @@
 from cumintack.coordination.runs.crash_isolation import assess_crash
 from cumintack.coordination.runs.placement import MIN_UPTIME_S
 from cumintack.coordination.runs.run_leadership import (
-    RunLeadership,
-    RunSettings,
     handle_applied_run_operation,
     handle_report,
     handle_run_tick,
 )
+from cumintack.coordination.runs.run_leadership_state import (
+    RunLeadership,
+    RunSettings,
+)
 from cumintack.coordination.runs.worker_loss import RECENT_START_S
 from cumintack.protocol.run_messages import (
     EndedRun,
--- a/cumintack/coordination/runs/fake_run_platform_test.py
+++ b/cumintack/coordination/runs/fake_run_platform_test.py
@@ -29,13 +29,15 @@
 )
 from cumintack.coordination.runs.run_leadership import (
     RunEffect,
-    RunLeadership,
-    RunSettings,
     handle_applied_run_operation,
     handle_report,
     handle_run_proposal_failure,
     handle_run_tick,
 )
+from cumintack.coordination.runs.run_leadership_state import (
+    RunLeadership,
+    RunSettings,
+)
 from cumintack.protocol.run_messages import (
     RunKey,
     RunOrders,
--- a/cumintack/coordination/runs/fencing_test.py
+++ b/cumintack/coordination/runs/fencing_test.py
@@ -13,11 +13,13 @@
     is_fenced,
 )
 from cumintack.coordination.runs.run_leadership import (
-    RunLeadership,
-    RunSettings,
     handle_report,
     handle_run_tick,
 )
+from cumintack.coordination.runs.run_leadership_state import (
+    RunLeadership,
+    RunSettings,
+)
 from cumintack.coordination.runs.run_reconciliation import (
     apply_orders,
     apply_poll_result,
--- a/cumintack/coordination/runs/run_leadership.py
+++ b/cumintack/coordination/runs/run_leadership.py
@@ -9,12 +9,10 @@
 
 from cumintack.coordination.effects import ProposeAsLeader, Send
 from cumintack.coordination.runs.admission_advice import (
-    AdviceState,
     discard_ticket,
     prune_inactive_steps,
 )
 from cumintack.coordination.runs.candidate_index import (
-    CandidateIndex,
     get_placed_runs,
     mark_all_changed,
     mark_changed,
@@ -25,7 +23,6 @@
 )
 from cumintack.coordination.runs.colocation import list_observations
 from cumintack.coordination.runs.crash_isolation import (
-    SeenLoss,
     assess_crash,
     record_loss,
     update_isolation,
@@ -40,11 +37,15 @@
     record_success,
 )
 from cumintack.coordination.runs.interference_model import (
-    InterferenceModel,
     fit_weights,
     prune_means,
     record_observation,
 )
+from cumintack.coordination.runs.lease_expiry import (
+    detect_expired_leases,
+    get_latest_checkpoint,
+    record_late_calls,
+)
 from cumintack.coordination.runs.migration import (
     choose_migrations,
     update_progress,
@@ -59,7 +60,9 @@
 )
 from cumintack.coordination.runs.run_ends import (
     RunEndDetector,
-    get_task_and_run,
+)
+from cumintack.coordination.runs.run_leadership_state import (
+    RunLeadership,
 )
 from cumintack.coordination.runs.run_orders import (
     OrderContext,
@@ -71,13 +74,11 @@
     Reservations,
 )
 from cumintack.coordination.runs.waiting.run_time_estimates import (
-    RunTimeModel,
     observe_run_times,
     prune_run_times,
 )
 from cumintack.coordination.runs.waiting.step_ranking import (
     DUE_TIME_ORDER,
-    CachedRank,
     RemainingWorkOrder,
     StepOrder,
     StepRank,
@@ -102,9 +103,7 @@
     RecordRuns,
     RunEnd,
     RunEndKind,
-    RunStart,
     SetEvacuation,
-    StepKey,
     WorkflowTables,
     get_task,
     parse_task_id,
@@ -121,9 +120,6 @@
 # Seconds without placements on a worker after it refused a run; by then it has
 # reported its runs again.
 REFUSAL_COOLDOWN_S = 0.3
-# Seconds added to the end of a lease before its runs count as lost: the clocks
-# of two machines may drift apart by 2% over a lease.
-LEASE_MARGIN_S = 0.3
 # Ms after its due time at which an occurrence begins, since the wall clock of
 # another machine may be behind.
 OCCURRENCE_MARGIN_MS = 20
@@ -133,92 +129,6 @@
 FAILING_ENDS = frozenset((RunEndKind.failed, RunEndKind.crashed))
 
 
-class RunSettings(msgspec.Struct, frozen=True):
-    """Durations of the leases of workers.
-
-    Attributes:
-        lease_s: Duration of a lease.
-        previous_leader_grant_s: How long a previous leader may still grant
-            leases after this one began to lead.
-        is_ordered_by_work: Whether waiting steps are placed in the order of
-            their remaining work, not of their due times.
-        is_packed: Whether tasks are packed into the smallest gaps, and room is
-            kept for waiting tasks that fit nowhere.
-    """
-
-    lease_s: float
-    previous_leader_grant_s: float
-    is_ordered_by_work: bool = False
-    is_packed: bool = False
-
-
-class RunLeadership(msgspec.Struct):
-    """Soft state of the leader about the workers and their runs.
-
-    Attributes:
-        settings: Durations of leases.
-        term: The term of this leader.
-        leading_since_s: When this leader began to lead.
-        views: The workers, by name of their guard.
-        orders_number: Number of the latest orders in this term.
-        fence_count: Number of the latest fence given to a guard in this term.
-        proposed_ends: Guards of the runs whose end is proposed and not applied
-            yet.
-        proposed_starts: Starts proposed and not applied yet, by task.
-        unrecorded_workflows: Workflows of which a run has begun, to be
-            recorded with the next operation.
-        proposed_workflows: Those proposed and not applied yet.
-        stop_reasons: Runs that are stopped in order to be placed elsewhere,
-            each with the reason.
-        needs_pass: Whether a scheduling pass could place something new.
-        pass_at_s: When the next scheduling pass may run.
-        sweep_at_s: When the next check for silent workers is due.
-        guards_to_update: Names of guards that need new orders.
-        late_calls_until_s: Until when calls that workers left unanswered may
-            take effect.
-        interference: The interference model of pairs of images.
-        advice: The advice received from the external adviser.
-        index: The usage of the workers, and the best ones by kind of task.
-        cached_ranks: The ranks of waiting steps.
-        migrated_at_s: When each task was last migrated.
-        reserved_guards: Guards of the workers on which places are reserved,
-            by the task that is being migrated.
-        losses: The latest unplanned loss of each worker, by guard.
-        run_times: Estimates of run times.
-        reservations: Room that is kept for waiting tasks.
-        reserve_at_s: When the reservations are next decided.
-    """
-
-    settings: RunSettings
-    term: int
-    leading_since_s: float
-    views: dict[str, WorkerView] = {}
-    orders_number: int = 0
-    fence_count: int = 0
-    proposed_ends: dict[RunKey, str] = {}
-    proposed_starts: dict[str, RunStart] = {}
-    unrecorded_workflows: dict[str, None] = {}
-    proposed_workflows: dict[str, None] = {}
-    stop_reasons: dict[RunKey, str] = {}
-    needs_pass: bool = True
-    pass_at_s: float = 0
-    sweep_at_s: float = 0
-    guards_to_update: dict[str, None] = {}
-    late_calls_until_s: float = float('-inf')
-    interference: InterferenceModel = msgspec.field(
-        default_factory=InterferenceModel
-    )
-    advice: AdviceState = msgspec.field(default_factory=AdviceState)
-    index: CandidateIndex = msgspec.field(default_factory=CandidateIndex)
-    cached_ranks: dict[StepKey, CachedRank] = {}
-    migrated_at_s: dict[str, float] = {}
-    reserved_guards: dict[str, str] = {}
-    losses: dict[str, SeenLoss] = {}
-    run_times: RunTimeModel = msgspec.field(default_factory=RunTimeModel)
-    reservations: Reservations = {}
-    reserve_at_s: float = 0
-
-
 RunEffect = Send | ProposeAsLeader
 
 
@@ -266,7 +176,7 @@
         view.fence = leadership.fence_count
     _update_view(view, report, now_s)
     update_evacuated_workers((view,), leadership.index, tables)
-    _record_late_calls(leadership, report, now_s)
+    record_late_calls(leadership, report, now_s)
     _record_started_runs(placed_runs, view)
     mark_changed(leadership.index, guard)
     _find_begun_workflows(leadership, tables, placed_runs, view)
@@ -453,7 +363,7 @@
             continue
         end = detector.find(placed.key, lifetime)
         if end is not None:
-            checkpoint = end.checkpoint or _get_latest_checkpoint(
+            checkpoint = end.checkpoint or get_latest_checkpoint(
                 leadership, guard, placed.key
             )
             evidence = _assess_end(leadership, guard, report, end, now_s)
@@ -525,16 +435,6 @@
     ]
 
 
-def _get_latest_checkpoint(
-    leadership: RunLeadership, guard: str, key: RunKey
-) -> str:
-    view = leadership.views.get(guard)
-    if view is None:
-        return ''
-    run = view.running.get(key) or view.earlier_running.get(key)
-    return run.checkpoint if run else ''
-
-
 def _propose_ends(
     leadership: RunLeadership,
     tables: WorkflowTables,
@@ -695,7 +595,7 @@
     is_sweep_due = now_s >= leadership.sweep_at_s
     if is_sweep_due:
         leadership.sweep_at_s = now_s + SWEEP_INTERVAL_S
-        ends = _detect_expired_leases(leadership, tables, now_s)
+        ends = detect_expired_leases(leadership, tables, now_s)
         effects.extend(_propose_ends(leadership, tables, ends, now_s))
         effects.extend(_begin_due_occurrences(tables, now_ms))
         _evacuate_draining_workers(leadership, tables, now_s)
@@ -726,70 +626,6 @@
     return effects
 
 
-def _detect_expired_leases(
-    leadership: RunLeadership,
-    tables: WorkflowTables,
-    now_s: float,
-) -> list[RunEnd]:
-    ends = []
-    is_any_call_late = now_s < leadership.late_calls_until_s
-    delay_s = MAX_CALL_DELAY_S if is_any_call_late else 0
-    for guard in tables.index.placed:
-        if now_s <= _get_lease_end_bound(leadership, guard, delay_s):
-            continue
-        for placed in get_placed_runs(leadership.index, tables, guard).values():
-            key = placed.key
-            checkpoint = _get_latest_checkpoint(leadership, guard, key)
-            ends.append(
-                RunEnd(*get_task_and_run(key), RunEndKind.lost, checkpoint)
-            )
-    return ends
-
-
-def _record_late_calls(
-    leadership: RunLeadership, report: RunReport, now_s: float
-) -> None:
-    """Record that a worker has left a call unanswered of late.
-
-    After a restart of a worker or of a guard the guard assumes a lease that
-    nobody else knows of; only an unanswered call adds its delay to a lease.
-    """
-    late_for_s = report.late_calls_for_s
-    is_observed = not report.is_restarted
-    if is_observed and report.unsure_for_s > MAX_CALL_DELAY_S:
-        late_for_s = max(late_for_s, report.unsure_for_s)
-    if late_for_s:
-        leadership.late_calls_until_s = max(
-            leadership.late_calls_until_s, now_s + late_for_s
-        )
-
-
-def _get_lease_end_bound(
-    leadership: RunLeadership, guard: str, delay_s: float
-) -> float:
-    """Return until when runs on the worker of a silent guard may go on.
-
-    The guard may have left a call unanswered after its last report. Where calls
-    are carried out late, it may hold a whole lease from that moment on.
-    """
-    settings = leadership.settings
-    latest_lease_end_s = (
-        leadership.leading_since_s
-        + settings.previous_leader_grant_s
-        + settings.lease_s
-    )
-    uncertain_bound_s = float('-inf')
-    view = leadership.views.get(guard)
-    if view is not None:
-        uncertain_bound_s = view.last_report_at_s + view.unsure_for_s
-        latest_lease_end_s = max(
-            latest_lease_end_s,
-            view.granted_until_s,
-            view.last_report_at_s + settings.lease_s,
-        )
-    return LEASE_MARGIN_S + max(uncertain_bound_s, latest_lease_end_s + delay_s)
-
-
 def _begin_due_occurrences(
     tables: WorkflowTables,
     now_ms: float,
--- a/cumintack/coordination/runs/run_leadership_test.py
+++ b/cumintack/coordination/runs/run_leadership_test.py
@@ -4,13 +4,15 @@
 
 from cumintack.coordination.effects import ProposeAsLeader, Send
 from cumintack.coordination.runs.run_leadership import (
-    RunLeadership,
-    RunSettings,
     handle_applied_run_operation,
     handle_report,
     handle_run_proposal_failure,
     handle_run_tick,
 )
+from cumintack.coordination.runs.run_leadership_state import (
+    RunLeadership,
+    RunSettings,
+)
 from cumintack.coordination.runs.unanswered_calls import MAX_CALL_DELAY_S
 from cumintack.protocol.run_messages import (
     ClosedRun,
--- a/cumintack/coordination/runs/waiting/room_reservation_test.py
+++ b/cumintack/coordination/runs/waiting/room_reservation_test.py
@@ -9,12 +9,14 @@
 )
 from cumintack.coordination.runs.run_leadership import (
     RunEffect,
-    RunLeadership,
-    RunSettings,
     handle_applied_run_operation,
     handle_report,
     handle_run_tick,
 )
+from cumintack.coordination.runs.run_leadership_state import (
+    RunLeadership,
+    RunSettings,
+)
 from cumintack.coordination.runs.waiting.room_reservation import (
     MAX_RESERVED_SHARE,
     RoomForecast,
@@ -71,8 +73,8 @@
         """Start with empty workers."""
         self.now_s = 0.0
         self.tables = WorkflowTables()
-        settings = RunSettings(8, 1, is_packed=is_packed)
-        self.leadership = RunLeadership(settings, 1, 0)
+        self._settings = RunSettings(8, 1, is_packed=is_packed)
+        self.leadership = RunLeadership(self._settings, 1, 0)
         self.silent: set[str] = set()
         self._started_at_s: dict[RunKey, float] = {}
         self._duration_s: dict[RunKey, float] = {}
@@ -86,6 +88,10 @@
         configuration = QueueConfiguration(1, QUEUES, (Pool('pool'),))
         self.apply(ReplaceQueues(configuration))
 
+    def elect(self) -> None:
+        """Let a new leader begin, which knows only the replicated tables."""
+        self.leadership = RunLeadership(self._settings, 2, self.now_s)
+
     def apply(self, operation: WorkflowOperation) -> None:
         """Apply an operation as the replicated log does."""
         apply_workflow_operation(
@@ -214,6 +220,19 @@
     assert pool.measure_wait_s(large) < SATURATED_S
 
 
+# Guards against a large task that waits again under each new leader.
+def test_new_leader_keeps_room_too() -> None:
+    """The leader is replaced as soon as it has kept room."""
+    pool = SaturatedPool(is_packed=True)
+    pool.run(WARM_UP_S)
+    large = pool.accept(LARGE)
+    pool.run(2 * STEP_S)
+    assert pool.leadership.reservations
+    pool.elect()
+    pool.run(SATURATED_S)
+    assert pool.measure_wait_s(large) <= MAX_WAIT_S
+
+
 # Guards against urgent small tasks that wait for a large one of batch work.
 def test_no_room_is_kept_from_more_urgent_queues() -> None:
     """The large task belongs to the less urgent queue."""
--- a/cumintack/daemon/advice_requester.py
+++ b/cumintack/daemon/advice_requester.py
@@ -16,7 +16,9 @@
     choose_advice_request,
     record_advice,
 )
-from cumintack.coordination.runs.run_leadership import RunLeadership
+from cumintack.coordination.runs.run_leadership_state import (
+    RunLeadership,
+)
 from cumintack.daemon.node import Node
 from cumintack.state.errors import StepError, format_error
 from cumintack.state.workflows import WorkflowTables
--- a/cumintack/daemon/control_component.py
+++ b/cumintack/daemon/control_component.py
@@ -29,7 +29,10 @@
     ReplicaSettings,
     Role,
 )
-from cumintack.coordination.runs.run_leadership import RunEffect, RunSettings
+from cumintack.coordination.runs.run_leadership import RunEffect
+from cumintack.coordination.runs.run_leadership_state import (
+    RunSettings,
+)
 from cumintack.coordination.scheduling import SchedulerSettings
 from cumintack.daemon.advice_requester import Adviser
 from cumintack.daemon.control_queries import (
--- a/cumintack/daemon/pool_names_test.py
+++ b/cumintack/daemon/pool_names_test.py
@@ -3,7 +3,9 @@
 from types import SimpleNamespace
 from typing import cast
 
-from cumintack.coordination.runs.run_leadership import RunSettings
+from cumintack.coordination.runs.run_leadership_state import (
+    RunSettings,
+)
 from cumintack.daemon.node import Node
 from cumintack.daemon.settings import WorkflowGuardSettings
 from cumintack.daemon.workflow_coordinator import WorkflowCoordinator
--- a/cumintack/daemon/workflow_coordinator.py
+++ b/cumintack/daemon/workflow_coordinator.py
@@ -7,14 +7,16 @@
 from cumintack.coordination.replication import Replica
 from cumintack.coordination.runs.run_leadership import (
     RunEffect,
-    RunLeadership,
-    RunSettings,
     handle_applied_run_operation,
     handle_report,
     handle_run_proposal_failure,
     handle_run_tick,
     list_undecided_runs,
 )
+from cumintack.coordination.runs.run_leadership_state import (
+    RunLeadership,
+    RunSettings,
+)
 from cumintack.daemon.advice_requester import AdviceRequester
 from cumintack.daemon.node import Node
 from cumintack.daemon.workflow_logging import (
--- a/cumintack/daemon/workflow_logging.py
+++ b/cumintack/daemon/workflow_logging.py
@@ -3,8 +3,8 @@
 import structlog
 
 from cumintack.coordination.effects import ProposeAsLeader
-from cumintack.coordination.runs.run_leadership import (
-    RunEffect,
+from cumintack.coordination.runs.run_leadership import RunEffect
+from cumintack.coordination.runs.run_leadership_state import (
     RunLeadership,
 )
 from cumintack.coordination.runs.waiting.room_reservation import Reservations
--- a/cumintack/platform/fake_deployment_test.py
+++ b/cumintack/platform/fake_deployment_test.py
@@ -13,12 +13,14 @@
 from cumintack.coordination.effects import ProposeAsLeader, Send
 from cumintack.coordination.runs.run_leadership import (
     RunEffect,
-    RunLeadership,
-    RunSettings,
     handle_applied_run_operation,
     handle_report,
     handle_run_tick,
 )
+from cumintack.coordination.runs.run_leadership_state import (
+    RunLeadership,
+    RunSettings,
+)
 from cumintack.coordination.runs.run_reconciliation import (
     apply_orders,
     apply_poll_result,
