Kept room: a queue that was removed does not end the leader

The most urgent priority of a pool was taken from its configured queues. Where a task waits whose queue the operator has removed, there is none, and the leader ended with a ValueError. The new test failed before.

--- a/cumintack/coordination/runs/placement.py
+++ b/cumintack/coordination/runs/placement.py
@@ -254,6 +254,7 @@
 ) -> list[WaitingDemand]:
     """List the waiting tasks of the most urgent queues that fit nowhere."""
     tables = scheduling_pass.tables
+    best_priorities = _list_best_priorities(tables)
     demands = []
     for rank in ranks:
         kind = get_task_kind(scheduling_pass.index, tables, rank.key)
@@ -261,19 +262,22 @@
         is_unmet = kind in scheduling_pass.exhausted_kinds
         if not is_unmet or step.is_best_effort:
             continue
-        if rank.priority > _get_best_priority(tables, kind.pool):
+        # A pool has no queue any more if its workflows were accepted under an
+        # earlier configuration.
+        if rank.priority > best_priorities.get(kind.pool, rank.priority):
             continue
         count = len(tables.index.waiting[rank.key].indexes)
         demands.append(WaitingDemand(rank.key, kind, count))
     return demands
 
 
-def _get_best_priority(tables: WorkflowTables, pool: str) -> int:
-    return min(
-        queue.priority
-        for queue in tables.configuration.queues
-        if queue.pool == pool
-    )
+def _list_best_priorities(tables: WorkflowTables) -> dict[str, int]:
+    """List the priority of the most urgent queue of each pool."""
+    priorities: dict[str, int] = {}
+    for queue in tables.configuration.queues:
+        lowest = priorities.get(queue.pool, queue.priority)
+        priorities[queue.pool] = min(lowest, queue.priority)
+    return priorities
 
 
 def _place_step(scheduling_pass: SchedulingPass, key: StepKey) -> None:
--- a/cumintack/coordination/runs/waiting/room_reservation_test.py
+++ b/cumintack/coordination/runs/waiting/room_reservation_test.py
@@ -116,11 +116,13 @@
         self.apply(AcceptWorkflow(workflow_id, 'host', path, spec))
         return workflow_id
 
-    def run(self, duration_s: float) -> None:
+    def run(self, duration_s: float, *, is_accepting: bool = True) -> None:
         """Let time pass; small tasks take about one second, and all wait."""
         end_s = self.now_s + duration_s
         while self.now_s < end_s:
-            while len(self.tables.index.waiting) < len(WORKERS):
+            while is_accepting and (
+                len(self.tables.index.waiting) < len(WORKERS)
+            ):
                 self.accept(SMALL)
             self.now_s += STEP_S
             for guard in WORKERS:
@@ -243,6 +245,21 @@
     assert not pool.leadership.reservations
 
 
+# Guards against a leader that ends because the queue of a waiting task was
+# removed by the operator.
+def test_room_is_kept_for_a_queue_that_was_removed() -> None:
+    """Its workflow was accepted before."""
+    pool = SaturatedPool(is_packed=True)
+    pool.run(WARM_UP_S)
+    large = pool.accept(LARGE)
+    other = Queue('other', 'host', '/other/', 'other', 0, 2, 2, 1000, 3000)
+    pool.apply(
+        ReplaceQueues(QueueConfiguration(2, (other,), (Pool('other'),))),
+    )
+    pool.run(SATURATED_S, is_accepting=False)
+    assert pool.measure_wait_s(large) <= MAX_WAIT_S
+
+
 # Guards against reservations that keep workers empty after the large task has
 # been cancelled or placed.
 def test_no_room_is_kept_for_what_does_not_wait() -> None:
