--- a/review/standins-3/deployment.py
+++ b/review/standins-3/deployment.py
@@ -20,6 +20,7 @@
 import tomllib
 
 from adviser import Adviser
+from cuts import Hub
 from workers import Gangs, Record, Worker
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
@@ -92,7 +93,13 @@
         }
         template = (ROOT / description['template']).read_text()
         settings = folder / f'{self.name}.yaml'
-        settings.write_text(render(template, fields))
+        text = render(template, fields)
+        if deployment.hub is not None:
+            # The replicas are reached through the proxies.
+            text = text.replace(
+                f'link_port: {deployment.link_port}', f'link_port: {deployment.proxy_port}'
+            )
+        settings.write_text(text)
         environment = {
             name: os.environ[name]
             for name in ('PATH', 'HOME', 'LANG')
@@ -139,7 +146,7 @@
         self.front_port = self.link_port + 17
         self.ready_port = self.link_port + 18
         self.app_port = self.link_port + 19
-        ports = [self.link_port, self.control_port, self.front_port, self.ready_port, self.app_port, 9464]
+        ports = [self.link_port, self.link_port + 2, self.control_port, self.front_port, self.ready_port, self.app_port, 9464]
         prefix = find_network(ports)
         self.zones = {'north': 'area', 'south': 'area', 'east': 'area'}
         zones = list(self.zones)
@@ -149,6 +156,8 @@
             self.advice = f'{prefix}.9:{self.app_port}'
             self.adviser = Adviser(self.record, self.advice, *advice)
         self.gangs = Gangs()
+        self.hub = None
+        self.proxy_port = self.link_port + 2
         self.controls = []
         for number in range(3):
             ip = f'{prefix}.{11 + number}'
@@ -188,6 +197,12 @@
     def processes(self):
         return [*self.controls, *self.entries, *self.guards]
 
+    def add_proxies(self, name, delay_s):
+        """Put proxies before the replicas, which can cut one machine off."""
+        self.hub = Hub(name, delay_s)
+        for process in self.controls:
+            self.hub.serve((process.ip, self.proxy_port), (process.ip, self.link_port))
+
     def start(self):
         for process in self.processes():
             process.start()
@@ -318,6 +333,8 @@
     deployment = Deployment(pathlib.Path(folder) / 'record.txt', worker_count, **options)
     verdict = 2
     try:
+        if 'prepare' in options:
+            options['prepare'](deployment)
         deployment.start()
         verdict = play(deployment, trouble)
     except Exception as error:  # a case that could not be played
