--- a/review/standins-3/cuts.py
+++ b/review/standins-3/cuts.py
@@ -9,6 +9,7 @@
 import time
 
 CHUNK_BYTES = 65536
+SEEN_BYTES = 1024
 
 
 class _Link:
@@ -17,6 +18,8 @@
         self.client = client
         self.server = server
         self.is_of_machine = False
+        # The first bytes, which tell the sender of all that follows.
+        self.seen = b''
         self.held = []
         for source, target, is_inbound in ((client, server, True), (server, client, False)):
             threading.Thread(
@@ -31,8 +34,9 @@
                 chunk = b''
             time.sleep(self.hub.delay_s)
             with self.hub.lock:
-                if is_inbound and self.hub.name in chunk:
-                    self.is_of_machine = True
+                if is_inbound:
+                    self.seen = (self.seen + chunk)[:SEEN_BYTES]
+                    self.is_of_machine = self.is_of_machine or self.hub.name in chunk
                 if self.hub.is_cut and self.is_of_machine:
                     self.held.append((target, chunk))
                 else:
@@ -57,10 +61,10 @@
 
 
 class Hub:
-    """All proxies; ``name`` is the machine that can be cut off."""
+    """All proxies; ``name`` is the machine that is cut off, or was last."""
 
-    def __init__(self, name, delay_s):
-        self.name = name.encode()
+    def __init__(self, delay_s):
+        self.name = b'none'
         self.delay_s = delay_s
         self.is_cut = False
         self.lock = threading.RLock()
@@ -85,9 +89,12 @@
             with self.lock:
                 self.links.append(_Link(self, client, upstream))
 
-    def cut(self):
+    def cut(self, name):
         with self.lock:
+            self.name = name.encode()
             self.is_cut = True
+            for link in self.links:
+                link.is_of_machine = self.name in link.seen
 
     def heal(self):
         with self.lock:
--- a/review/standins-3/deployment.py
+++ b/review/standins-3/deployment.py
@@ -197,9 +197,9 @@
     def processes(self):
         return [*self.controls, *self.entries, *self.guards]
 
-    def add_proxies(self, name, delay_s):
-        """Put proxies before the replicas, which can cut one machine off."""
-        self.hub = Hub(name, delay_s)
+    def add_proxies(self, delay_s):
+        """Put proxies before the replicas, which can cut a machine off."""
+        self.hub = Hub(delay_s)
         for process in self.controls:
             self.hub.serve((process.ip, self.proxy_port), (process.ip, self.link_port))
 
