--- a/review/12/case.py
+++ b/review/12/case.py
@@ -17,10 +17,10 @@
 from deployment import make_config, make_job, make_route, new_id, run_case
 
 WORKERS = 5
-ENTRIES = 6
+ENTRIES = 11
 DELAY_S = 0.0034
 # Lengths of the cuts; the rule is looked at after each.
-CUTS_S = (5.4, 5.2, 5.0, 4.8, 4.6)
+CUTS_S = (5.3, 5.1, 5.0, 4.8, 4.5, 5.3, 5.1, 5.0, 4.8, 4.5)
 KILLED_AFTER_S = 2.0
 OPEN_S = 0.25
 VISIBLE_S = 3.0
@@ -105,7 +105,7 @@
     deployment.seeds.sort(key=address.__eq__)
     for number, cut_s in enumerate(CUTS_S):
         path = play_cut(deployment, number, cut_s, trouble)
-        time.sleep(VISIBLE_S + 3)
+        time.sleep(VISIBLE_S + 0.6)
         if is_lost(deployment, path):
             deployment.record.write(f'case: {path} was accepted and is not known')
             return 1
