--- a/review/14/case.py
+++ b/review/14/case.py
@@ -20,7 +20,7 @@
 # The new life sends its first heartbeat a third of a second after its start,
 # and carries out the late start before it.
 FIRST_HEARTBEAT_S = 0.3
-LATE_S = 0.02
+LATE_S = 0.005
 NO_ANSWER_S = 1.5
 
 
