--- a/review/15/case.py
+++ b/review/15/case.py
@@ -58,6 +58,10 @@
     path = f'/sheets/{job_id}'
     step = {'count': 1, 'cpu': 2000, 'mem_mb': 1000, 'est_runtime_ms': 1000, 'long_running': True}
     job = make_job([step], {'work_s': 0, 'cpu': 2000, 'mem_mb': 1000})
+    # Three callers that stay beside the one that leaves.
+    for _ in range(3):
+        if not deployment.submit(f'/sheets/{new_id()}', job):
+            return 2
     entry = deployment.entries[1]
     if trouble:
         entry.signal(signal.SIGSTOP)
