Bound the holds in reports, and reject numbers without a bound

Cause: a start in flight at the end of its incarnation was kept until infinity. The guard reported that for a worker which the start does not name; the leader converted it to an integer for a log line, and added it to the time of late calls.

Evidence: the traceback in the logs of the replicas, in log_reported_losses, after the guard announced the worker while a start was in flight.

Why this works: a start in flight is a state of its own, of which what can still happen is reported: the time-out of the call, the time of a late one, a lease. Every message is checked for numbers without a bound where it is decoded; an odd one is dropped with a log line that names its sender. No conversion for a log line, and no line that cannot be encoded, ends a process. The log line of expired leases had the same fault before the first lease was granted.

--- a/cumintack/coordination/runs/run_reconciliation.py
+++ b/cumintack/coordination/runs/run_reconciliation.py
@@ -22,11 +22,13 @@
 from cumintack.coordination.runs.unanswered_calls import (
     MAX_CALL_DELAY_S,
     clear_unanswered_start,
+    get_latest_effect,
     has_unanswered_start,
     is_accepting,
     is_restarted,
     list_possibly_started,
     list_unanswered_starts,
+    may_reach_worker,
     prune_unanswered_calls,
     record_earlier_leases,
     record_earlier_runs,
@@ -352,17 +354,26 @@
             call_state.absence_reason = answer.reason
 
 
-def get_uncertain_until(state: WorkerRunState) -> float:
+def get_uncertain_until(
+    state: WorkerRunState, worker_info: WorkerInfo, now_s: float
+) -> float:
     """Get until when unanswered calls may keep a run on the worker.
 
     Args:
         state: The state of the runs on the worker.
+        worker_info: The worker in its current incarnation.
+        now_s: Current time of the monotonic clock, in seconds.
 
     Returns:
         The time of the guard's clock, minus infinity if there are none.
     """
-    keys = set(state.call_states) | set(state.unanswered_starts)
-    late_start_ends_s = [_get_late_start_end(state, key) for key in keys]
+    keys = set(state.call_states)
+    keys.update(
+        key
+        for key, start in state.unanswered_starts.items()
+        if may_reach_worker(start, worker_info)
+    )
+    late_start_ends_s = [_get_late_start_end(state, key, now_s) for key in keys]
     return max((state.uncertain_lease.until_s, *late_start_ends_s))
 
 
@@ -462,7 +473,8 @@
     ended = get_ended(state)
     is_any_held = False
     for key in (*state.wanted, *state.stops):
-        if now_s <= _get_late_start_end(state, key) + LEASE_END_MARGIN_S:
+        late_end_s = _get_late_start_end(state, key, now_s)
+        if now_s <= late_end_s + LEASE_END_MARGIN_S:
             is_any_held = True
         elif key not in ended:
             call_state = state.call_states.setdefault(key, RunCallState())
@@ -487,7 +499,9 @@
     return not is_repeated and key not in state.unanswered_starts
 
 
-def _get_late_start_end(state: WorkerRunState, key: RunKey) -> float:
+def _get_late_start_end(
+    state: WorkerRunState, key: RunKey, now_s: float
+) -> float:
     """Return until when a run may last that an unanswered start starts yet.
 
     The worker may have crashed and started again unseen. It then knows neither
@@ -499,7 +513,7 @@
         return call_state.uncertain_until_s
     return max(
         call_state.uncertain_until_s,
-        start.until_s + state.max_lease_s,
+        get_latest_effect(start, now_s) + state.max_lease_s,
         state.late_leases_until_s,
     )
 
@@ -555,7 +569,7 @@
         poll is not None,
         now_s - state.last_answer_at_s <= SILENCE_TIMEOUT_S,
         state.is_gone,
-        max(0, get_uncertain_until(state) - now_s),
+        max(0, get_uncertain_until(state, worker_info, now_s) - now_s),
         is_restarted(state, now_s),
         is_accepting(state, worker_info, now_s),
         state.loss,
--- a/cumintack/coordination/runs/unanswered_calls.py
+++ b/cumintack/coordination/runs/unanswered_calls.py
@@ -33,6 +33,9 @@
 # Most seconds after which a call still takes effect: the platform carries out
 # calls up to 12 s after they were sent.
 MAX_CALL_DELAY_S = 12.0
+# Timeout of a call to the worker, which is on the same machine and usually
+# answers within a few ms.
+CALL_TIMEOUT_S = 1.0
 
 
 def create_worker_run_state(
@@ -207,10 +210,11 @@
             earlier = state.unanswered_starts.get(key)
             state.unanswered_starts[key] = UnansweredStart(
                 worker_info.worker_id,
-                float('inf'),
+                now_s + CALL_TIMEOUT_S + MAX_CALL_DELAY_S,
                 worker_info.lifetime,
                 earlier.until_s if earlier else float('-inf'),
                 state.token,
+                is_in_flight=True,
             )
 
 
@@ -242,6 +246,35 @@
             )
 
 
+def get_latest_effect(start: UnansweredStart, now_s: float) -> float:
+    """Get when a start may be carried out at the latest.
+
+    Args:
+        start: The start.
+        now_s: Current time of the monotonic clock, in seconds.
+
+    Returns:
+        The time of the guard's clock. While the call is in flight, which a
+        process that stands still prolongs, it moves on with the present.
+    """
+    if not start.is_in_flight:
+        return start.until_s
+    return max(start.until_s, now_s + CALL_TIMEOUT_S + MAX_CALL_DELAY_S)
+
+
+def may_reach_worker(start: UnansweredStart, worker_info: WorkerInfo) -> bool:
+    """Tell whether a start names the identifier of a worker.
+
+    Args:
+        start: The start.
+        worker_info: The worker.
+
+    Returns:
+        False if the worker refuses the start as one for another.
+    """
+    return start.worker_id in {'', worker_info.worker_id}
+
+
 def list_unanswered_starts(state: WorkerRunState, now_s: float) -> list[RunKey]:
     """List the unanswered starts that the current incarnation may carry out.
 
@@ -259,9 +292,9 @@
     return [
         key
         for key, start in state.unanswered_starts.items()
-        if start.worker_id in {'', worker_info.worker_id}
+        if may_reach_worker(start, worker_info)
         and start.cleared_lifetime != worker_info.lifetime
-        and (now_s < start.until_s or is_polled)
+        and (start.is_in_flight or now_s < start.until_s or is_polled)
         and not (is_fenced(state, start.token) and lists_all_ends(state))
         and not _is_start_past(state, start, now_s)
     ]
@@ -287,7 +320,7 @@
     return tuple(
         key
         for key, start in state.unanswered_starts.items()
-        if start.worker_id in {'', worker_info.worker_id}
+        if may_reach_worker(start, worker_info)
     )
 
 
@@ -311,6 +344,8 @@
     Once it can no longer be carried out, the next poll lists its run; without
     a poll the run has ended when its lease has.
     """
+    if start.is_in_flight:
+        return False
     poll = state.latest_poll
     if (
         poll is not None
@@ -338,7 +373,7 @@
         for call_state in state.call_states.values()
     )
     return is_start_in_flight or any(
-        start.worker_id in {'', worker_info.worker_id}
+        may_reach_worker(start, worker_info)
         for start in state.unanswered_starts.values()
     )
 
@@ -369,7 +404,9 @@
     elif answer.is_sent and not answer.is_answered:
         until_s = answer.answered_at_s + MAX_CALL_DELAY_S
     state.unanswered_starts[call.key] = msgspec.structs.replace(
-        start, until_s=max(until_s, start.repeated_until_s)
+        start,
+        until_s=max(until_s, start.repeated_until_s),
+        is_in_flight=False,
     )
 
 
@@ -383,7 +420,7 @@
     start = state.unanswered_starts.get(key)
     if start is not None:
         state.unanswered_starts[key] = msgspec.structs.replace(
-            start, until_s=start.repeated_until_s
+            start, until_s=start.repeated_until_s, is_in_flight=False
         )
 
 
--- a/cumintack/coordination/runs/unanswered_calls_test.py
+++ b/cumintack/coordination/runs/unanswered_calls_test.py
@@ -1,5 +1,7 @@
 """Tests that calls without an answer never make a task run twice."""
 
+import math
+
 import msgspec
 
 from cumintack.coordination.runs.due_calls import list_due_calls
@@ -13,6 +15,7 @@
     record_worker_info,
 )
 from cumintack.coordination.runs.unanswered_calls import (
+    CALL_TIMEOUT_S,
     MAX_CALL_DELAY_S,
     create_worker_run_state,
     handle_late_start_answer,
@@ -22,6 +25,7 @@
 )
 from cumintack.coordination.runs.worker_run_state import (
     CallAnswer,
+    Fence,
     FencingToken,
     PollResult,
     StartRun,
@@ -516,3 +520,45 @@
     assert create_report(state, 5) is None
     over_s = 2 + MAX_CALL_DELAY_S + MAX_LEASE_S
     assert _report(state, over_s + 0.1).is_gone
+
+
+# Guards against a leader that ends because a hold in a report has no bound.
+def test_start_in_flight_to_a_replaced_worker_holds_nothing() -> None:
+    """The worker that follows refuses calls that name another identifier."""
+    state = _create_state()
+    _order(state, 1, 1, (KEY,))
+    _poll(state, 1)
+    _take_call(state, 1, StartRun)
+    record_worker_info(state, OTHER, 1.5)
+    report = _report(state, 1.6)
+    assert report.unsure_for_s <= MAX_LEASE_S
+    assert not report.late_calls_for_s
+
+
+# Guards against a hold without a bound once the start in flight is fenced.
+def test_start_in_flight_holds_until_it_can_come_late_no_more() -> None:
+    """A time-out of the call and the time of a late one are still to come."""
+    state = _create_state()
+    _order(state, 1, 1, (KEY,))
+    _poll(state, 1)
+    _take_call(state, 1, StartRun)
+    record_worker_info(state, SECOND, 1.5)
+    _order(state, 2, 1.6)
+    state.fence = Fence(SECOND.lifetime, FencingToken(2), 1.7)
+    _poll(state, 1.8)
+    latest_s = CALL_TIMEOUT_S + MAX_CALL_DELAY_S + MAX_LEASE_S
+    for now_s in (1.9, 100.0):
+        unsure_for_s = _report(state, now_s).unsure_for_s
+        assert math.isclose(unsure_for_s, latest_s, abs_tol=0.1)
+
+
+# Guards against a bound on a call that a process that stands still makes later.
+def test_start_in_flight_is_not_past_before_its_outcome_is_known() -> None:
+    """Its answer tells from when on it may be carried out late."""
+    state = _create_state()
+    _order(state, 1, 1, (KEY,))
+    _poll(state, 1)
+    _take_call(state, 1, StartRun)
+    record_worker_info(state, SECOND, 1.5)
+    _poll(state, 60)
+    assert create_report(state, 100) is None
--- a/cumintack/coordination/runs/worker_run_state.py
+++ b/cumintack/coordination/runs/worker_run_state.py
@@ -132,12 +132,13 @@
     Attributes:
         worker_id: Worker identifier that the start names; empty if a previous
             process of the guard sent it to an unknown one.
-        until_s: Until when it may be carried out.
+        until_s: Until when it may be carried out, unless it is in flight.
         cleared_lifetime: Incarnation in which it needs no stop: the one that
             it was meant for, or one that has confirmed a stop since.
         repeated_until_s: Until when an earlier start of the same run may be
             carried out, also if the latest one is answered.
         token: Highest token of the starts of the run.
+        is_in_flight: Whether the call still waits for its answer.
     """
 
     worker_id: str
@@ -145,6 +146,7 @@
     cleared_lifetime: str
     repeated_until_s: float = float('-inf')
     token: FencingToken = INHERITED_TOKEN
+    is_in_flight: bool = False
 
 
 class SentAcknowledgement(msgspec.Struct, frozen=True):
--- a/cumintack/daemon/guard_logging.py
+++ b/cumintack/daemon/guard_logging.py
@@ -10,11 +10,11 @@
     WorkerCall,
     WorkerRunState,
 )
+from cumintack.daemon.log_values import convert_to_ms
 from cumintack.protocol.run_messages import RunKey, RunReport, WorkerInfo
 
 # Keeps a line that lists runs within the longest line that is logged.
 MAX_RUNS_PER_LINE = 40
-MS_PER_S = 1000
 
 logger = structlog.get_logger()
 
@@ -33,9 +33,9 @@
         answer: The outcome.
         queued_at_s: When the call was decided on.
     """
-    lease_ms = 0
+    lease_ms: int | None = 0
     if isinstance(call, StartRun):
-        lease_ms = _to_ms(call.lease_until_s - answer.sent_at_s)
+        lease_ms = convert_to_ms(call.lease_until_s - answer.sent_at_s)
     logger.info(
         'guard: call made',
         call=type(call).__name__,
@@ -44,8 +44,8 @@
         term=call.token.term,
         fence=call.token.number,
         lifetime=worker_info.lifetime,
-        queued_ms=_to_ms(answer.sent_at_s - queued_at_s),
-        took_ms=_to_ms(answer.answered_at_s - answer.sent_at_s),
+        queued_ms=convert_to_ms(answer.sent_at_s - queued_at_s),
+        took_ms=convert_to_ms(answer.answered_at_s - answer.sent_at_s),
         lease_ms=lease_ms,
         is_answered=answer.is_answered,
         is_done=answer.is_done,
@@ -66,8 +66,8 @@
     logger.info(
         'guard: lease unanswered',
         lifetime=worker_info.lifetime,
-        sent_ms=_to_ms(sent_at_s),
-        lease_ms=_to_ms(until_s - sent_at_s),
+        sent_ms=convert_to_ms(sent_at_s),
+        lease_ms=convert_to_ms(until_s - sent_at_s),
     )
 
 
@@ -96,13 +96,13 @@
     lifetime = state.facts.lifetime if state.facts else ''
     fenced_ms = None
     if state.fence is not None and state.fence.lifetime == lifetime:
-        fenced_ms = _to_ms(now_s - state.fence.seen_at_s)
+        fenced_ms = convert_to_ms(now_s - state.fence.seen_at_s)
     logger.info(
         'guard: runs held',
         lifetime=lifetime,
         runs=len(state.wanted) + len(state.stops),
         cause=hold.cause,
-        held_ms=_to_ms(hold.until_s - now_s),
+        held_ms=convert_to_ms(hold.until_s - now_s),
         fenced_ms=fenced_ms,
         needs_fence=state.needs_fence,
     )
@@ -181,11 +181,7 @@
     logger.info(
         event,
         lifetime=poll.lifetime,
-        took_ms=_to_ms(poll.answered_at_s - poll.sent_at_s),
+        took_ms=convert_to_ms(poll.answered_at_s - poll.sent_at_s),
         runs=runs[:MAX_RUNS_PER_LINE],
         count=len(runs),
     )
-
-
-def _to_ms(duration_s: float) -> int:
-    return int(duration_s * MS_PER_S)
--- a/cumintack/daemon/logs.py
+++ b/cumintack/daemon/logs.py
@@ -32,6 +32,7 @@
 # Longest line in bytes. A pipe that select reports as writable accepts at
 # least this much (PIPE_BUF is 4096 on Linux) without blocking.
 MAX_LINE_BYTES = 4000
+_ENCODE_ERRORS = (TypeError, ValueError, RecursionError, OverflowError)
 
 
 class NonBlockingWriter:
@@ -124,7 +125,16 @@
     _method: str,
     event: structlog.typing.EventDict,
 ) -> str:
-    return msgspec.json.encode(event, enc_hook=str).decode()
+    try:
+        return msgspec.json.encode(event, enc_hook=str).decode()
+    except _ENCODE_ERRORS as error:
+        # A line that can't be written must not end the process.
+        failure = {
+            'event': 'logs: line not encodable',
+            'line': str(event.get('event')),
+            'error': str(error),
+        }
+        return msgspec.json.encode(failure).decode()
 
 
 def configure_logging(level: str) -> None:
--- a/cumintack/daemon/logs_test.py
+++ b/cumintack/daemon/logs_test.py
@@ -92,3 +92,19 @@
     assert _read_lines(reader)[0]['event'] == 'logs: line cut'
     os.close(reader)
     os.close(descriptor)
+
+
+# Guards against a value that can't be written and ends the process.
+def test_line_that_can_not_be_encoded(
+    capfd: pytest.CaptureFixture[str],
+) -> None:
+    """The line is replaced by one that names its event."""
+    before = structlog.get_config()
+    configure_logging('info')
+    endless: list[object] = []
+    endless.append(endless)
+    structlog.get_logger().info('odd', value=endless)
+    structlog.configure(**before)
+    line = json.loads(capfd.readouterr().out)
+    assert line['event'] == 'logs: line not encodable'
+    assert line['line'] == 'odd'
--- a/cumintack/daemon/workflow_logging.py
+++ b/cumintack/daemon/workflow_logging.py
@@ -14,6 +14,7 @@
 from cumintack.coordination.runs.waiting.step_ranking import (
     compute_objective_ms,
 )
+from cumintack.daemon.log_values import convert_to_ms
 from cumintack.protocol.run_messages import RunKey, RunReport
 from cumintack.state.workflows import (
     NO_EVACUATION,
@@ -34,7 +35,6 @@
 
 # Keeps a line that lists runs within the longest line that is logged.
 MAX_RUNS_PER_LINE = 40
-MS_PER_S = 1000
 
 logger = structlog.get_logger()
 
@@ -220,8 +220,8 @@
             'control: run time learned',
             workflow=step_key.workflow_id,
             step=step_key.step,
-            declared_ms=round(learned.declared_s * MS_PER_S),
-            observed_ms=round(learned.observed_s * MS_PER_S),
+            declared_ms=convert_to_ms(learned.declared_s),
+            observed_ms=convert_to_ms(learned.observed_s),
         )
     model.learned.clear()
 
@@ -273,7 +273,7 @@
     }
     for guard in sorted(guards):
         view = leadership.views.get(guard)
-        leading_ms = int((now_s - leadership.leading_since_s) * MS_PER_S)
+        leading_ms = convert_to_ms(now_s - leadership.leading_since_s)
         if view is None:
             logger.info(
                 'control: lease over, guard unknown',
@@ -287,9 +287,9 @@
             guard=guard,
             lifetime=view.facts.lifetime,
             leading_ms=leading_ms,
-            silent_ms=int(silent_s * MS_PER_S),
-            granted_ms=int((view.granted_until_s - now_s) * MS_PER_S),
-            unsure_ms=int((view.unsure_for_s - silent_s) * MS_PER_S),
+            silent_ms=convert_to_ms(silent_s),
+            granted_ms=convert_to_ms(view.granted_until_s - now_s),
+            unsure_ms=convert_to_ms(view.unsure_for_s - silent_s),
         )
 
 
@@ -317,7 +317,7 @@
             is_looked=report.is_looked,
             is_restarted=report.is_restarted,
             closed=len(report.closed),
-            unsure_ms=int(report.unsure_for_s * MS_PER_S),
+            unsure_ms=convert_to_ms(report.unsure_for_s),
         )
 
 
--- a/cumintack/daemon/workflow_logging_test.py
+++ b/cumintack/daemon/workflow_logging_test.py
@@ -3,7 +3,18 @@
 import pytest
 import structlog
 
-from cumintack.daemon.workflow_logging import log_operation
+from cumintack.coordination.effects import ProposeAsLeader
+from cumintack.coordination.runs.run_leadership_state import (
+    RunLeadership,
+    RunSettings,
+)
+from cumintack.coordination.runs.worker_views import WorkerView
+from cumintack.daemon.workflow_logging import (
+    log_expired_leases,
+    log_operation,
+    log_reported_losses,
+)
+from cumintack.protocol.run_messages import RunKey, RunReport, WorkerInfo
 from cumintack.state._workflow_transitions import apply_workflow_operation
 from cumintack.state.queues import Pool, Queue, QueueConfiguration
 from cumintack.state.resources import Resources
@@ -80,3 +91,39 @@
 ) -> None:
     """Run ends after the end of the workflow are not logged as its end."""
     assert _list_logged_statuses(*operations) == statuses
+
+
+WORKER = WorkerInfo('w', '1.w', 'pool', 'zone', Resources(1, 1), ())
+LOST = RecordRuns(ends=(RunEnd(TASKS[0], 1, RunEndKind.lost),))
+
+
+# Guards against a log line that ends a leader that granted no lease yet.
+def test_expired_lease_of_a_worker_without_a_grant() -> None:
+    """The line tells that there is no such time."""
+    leadership = RunLeadership(RunSettings(8, 8), 1, 0)
+    leadership.views['guard'] = WorkerView('guard', WORKER, 1, 1)
+    leadership.proposed_ends[RunKey(TASKS[0], 1)] = 'guard'
+    with structlog.testing.capture_logs() as lines:
+        log_expired_leases([ProposeAsLeader(LOST)], leadership, 30)
+    assert lines[0]['granted_ms'] is None
+    assert lines[0]['silent_ms'] == 29000
+
+
+# Guards against a log line that ends a leader because of a number of a guard.
+def test_reported_loss_with_a_hold_without_bound() -> None:
+    """The line is logged without it."""
+    report = RunReport(
+        1,
+        1,
+        WORKER,
+        (),
+        (),
+        (),
+        is_looked=True,
+        is_answering=True,
+        is_gone=True,
+        unsure_for_s=float('inf'),
+    )
+    with structlog.testing.capture_logs() as lines:
+        log_reported_losses([ProposeAsLeader(LOST)], 'guard', report)
+    assert lines[0]['unsure_ms'] is None
--- a/cumintack/platform/worker_calls.py
+++ b/cumintack/platform/worker_calls.py
@@ -16,6 +16,7 @@
 from result import Err, Ok, Result
 
 from cumintack.coordination.runs.fencing import MAX_CLOCK_DRIFT
+from cumintack.coordination.runs.unanswered_calls import CALL_TIMEOUT_S
 from cumintack.coordination.runs.worker_run_state import (
     CallAnswer,
     FencingToken,
@@ -52,9 +53,6 @@
 from cumintack.transport.clock import Clock, get_wall_ms
 from cumintack.transport.http_client import HttpAnswer, HttpClient, SendError
 
-# Timeout of a call to the worker, which is on the same machine and usually
-# answers within a few ms.
-CALL_TIMEOUT_S = 1.0
 MAX_ANSWER_BYTES = 4194304
 # Most ends that a worker lists in one answer.
 MAX_LISTED_ENDS = 500
--- a/cumintack/protocol/codec.py
+++ b/cumintack/protocol/codec.py
@@ -34,8 +34,17 @@
     message: Message
 
 
+class _Header(msgspec.Struct, frozen=True, array_like=True):
+    """The first fields of an envelope."""
+
+    version: int
+    sender: str
+
+
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(Envelope)
+_HEADER_DECODER = msgspec.msgpack.Decoder(_Header)
+_DECODE_ERRORS = (msgspec.DecodeError, UnicodeDecodeError, RecursionError)
 
 
 def encode_envelope(envelope: Envelope) -> bytes:
@@ -60,20 +69,31 @@
         The envelope, or an error that describes the problem.
     """
     if len(encoded) > MAX_MESSAGE_BYTES:
-        return Err(_create_error(ErrorCode.too_large, f'{len(encoded)} bytes'))
+        detail = f'{len(encoded)} bytes'
+        return Err(_create_error(ErrorCode.too_large, '', detail))
     try:
         envelope = _DECODER.decode(encoded)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
-        return Err(_create_error(ErrorCode.invalid, str(error)))
+    except _DECODE_ERRORS as error:
+        sender = _decode_sender(encoded)
+        return Err(_create_error(ErrorCode.invalid, sender, str(error)))
     if envelope.version != PROTOCOL_VERSION:
         return Err(
             _create_error(
                 ErrorCode.invalid,
-                f'version {envelope.version} from {envelope.sender!r}',
+                envelope.sender,
+                f'version {envelope.version}',
             ),
         )
     return Ok(envelope)
 
 
-def _create_error(code: ErrorCode, detail: str) -> StepError:
-    return StepError(code, 'codec.decode', '', detail)
+def _decode_sender(encoded: bytes) -> str:
+    """Return the sender of an envelope whose message can't be decoded."""
+    try:
+        return _HEADER_DECODER.decode(encoded).sender
+    except _DECODE_ERRORS:
+        return ''
+
+
+def _create_error(code: ErrorCode, sender: str, detail: str) -> StepError:
+    return StepError(code, 'codec.decode', sender, detail)
--- a/cumintack/protocol/codec_test.py
+++ b/cumintack/protocol/codec_test.py
@@ -1,6 +1,7 @@
 """Tests that the codec handles arbitrary bytes and rejects other versions."""
 
 import msgspec
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 from result import Err, Ok
@@ -12,7 +13,17 @@
     encode_envelope,
 )
 from cumintack.protocol.messages import GuardStatus, Ping
+from cumintack.protocol.run_messages import (
+    EndedRun,
+    RunKey,
+    RunningRun,
+    RunOrders,
+    RunReport,
+    WorkerInfo,
+    WorkerLoss,
+)
 from cumintack.state.events import HybridTimestamp
+from cumintack.state.resources import Resources
 
 STATUS = GuardStatus(
     'worker-1',
@@ -62,3 +73,66 @@
     decoded = decode_envelope(msgspec.msgpack.encode(envelope))
     assert isinstance(decoded, Err)
     assert 'version' in decoded.err_value.detail
+
+
+KEY = RunKey('0123456789abcdef.0.0.0', 1)
+REPORT = RunReport(
+    1.5,
+    1,
+    WorkerInfo('w', '1.w', 'pool', 'zone', Resources(1, 1), ()),
+    (),
+    (),
+    (),
+    is_looked=True,
+    is_answering=True,
+    is_gone=False,
+    unsure_for_s=0,
+)
+ORDERS = RunOrders(1, 1, '1.w', 1.5, 8, 0, (), ())
+
+
+# Guards against numbers without a bound that end the process that uses them.
+@pytest.mark.parametrize('number', [float('inf'), float('-inf'), float('nan')])
+@pytest.mark.parametrize(
+    ('message', 'field'),
+    [
+        (REPORT, 'unsure_for_s'),
+        (REPORT, 'late_calls_for_s'),
+        (REPORT, 'sent_at_s'),
+        (ORDERS, 'echoed_sent_at_s'),
+        (ORDERS, 'lease_s'),
+    ],
+)
+def test_numbers_without_bound(
+    message: RunReport | RunOrders, field: str, number: float
+) -> None:
+    """The message is dropped, and the error names its sender."""
+    changed = msgspec.structs.replace(message, **{field: number})
+    assert _find_sender_of_error(changed) == 'guard-1'
+
+
+# Guards against lists of a report that end the leader.
+@pytest.mark.parametrize(
+    'changes',
+    [
+        {'running': (RunningRun(KEY, '', float('nan'), 0, False),)},
+        {'running': (RunningRun(KEY, '', 0, float('inf'), False),)},
+        {'ended': (EndedRun(1, KEY, 'unheard of', ''),)},
+        {'loss': WorkerLoss('1.w', float('inf'), 0, True)},
+        {'unsure_for_s': 1e300},
+        {'unsure_for_s': -1},
+    ],
+)
+def test_odd_report(changes: dict[str, object]) -> None:
+    """What no guard can mean is dropped as a whole."""
+    changed = msgspec.structs.replace(REPORT, **changes)
+    assert _find_sender_of_error(changed) == 'guard-1'
+
+
+def _find_sender_of_error(message: RunReport | RunOrders) -> str:
+    envelope = Envelope(
+        PROTOCOL_VERSION, 'guard-1', 'i', HybridTimestamp(), message
+    )
+    decoded = decode_envelope(encode_envelope(envelope))
+    assert isinstance(decoded, Err)
+    return decoded.err_value.peer
--- a/cumintack/protocol/messages.py
+++ b/cumintack/protocol/messages.py
@@ -34,6 +34,7 @@
 from cumintack.state.configuration import Configuration
 from cumintack.state.errors import StepError
 from cumintack.state.jobs import TaskReport
+from cumintack.state.numbers import Finite, HoldDuration
 from cumintack.state.requests import (
     Answer,
     Dispatch,
@@ -210,11 +211,11 @@
 
     worker: WorkerSpec
     incarnation: str
-    sent_at_s: float
+    sent_at_s: Finite
     reports: tuple[TaskReport, ...]
     held: tuple[tuple[str, int], ...]
     used: Resources
-    quick_slowdown: float
+    quick_slowdown: Finite
     is_reachable: bool
 
 
@@ -261,8 +262,8 @@
     """
 
     term: int
-    echoed_sent_at_s: float
-    lease_s: float
+    echoed_sent_at_s: Finite
+    lease_s: HoldDuration
     orders: tuple[TaskOrder, ...]
     settled: tuple[tuple[str, int], ...]
 
--- a/cumintack/protocol/run_messages.py
+++ b/cumintack/protocol/run_messages.py
@@ -5,11 +5,17 @@
 a lost message only causes a delay.
 """
 
+from typing import Annotated
+
 import msgspec
 
 from cumintack.state.errors import StepError
+from cumintack.state.numbers import Finite, HoldDuration
 from cumintack.state.resources import Resources
-from cumintack.state.workflows import Evacuation
+from cumintack.state.workflows import Evacuation, RunEndKind
+
+_END_KINDS = '|'.join(kind.value for kind in RunEndKind)
+EndKindName = Annotated[str, msgspec.Meta(pattern=f'^({_END_KINDS})$')]
 
 
 class RunKey(msgspec.Struct, frozen=True, array_like=True):
@@ -72,7 +78,7 @@
 
     latency_critical: str
     best_effort: str
-    weight: float
+    weight: Finite
 
 
 class RunOrders(msgspec.Struct, frozen=True, tag=True):
@@ -100,8 +106,8 @@
     term: int
     number: int
     lifetime: str
-    echoed_sent_at_s: float
-    lease_s: float
+    echoed_sent_at_s: Finite
+    lease_s: HoldDuration
     settled_number: int
     wanted: tuple[RunOrder, ...]
     stops: tuple[RunKey, ...]
@@ -129,8 +135,8 @@
 
     key: RunKey
     checkpoint: str
-    percent: float
-    measurement: float
+    percent: Finite
+    measurement: Finite
     has_details: bool
     has_outlived_start: bool = False
     is_start_settled: bool = False
@@ -148,7 +154,7 @@
 
     number: int
     key: RunKey
-    kind: str
+    kind: EndKindName
     checkpoint: str
 
 
@@ -205,8 +211,8 @@
     """
 
     lifetime: str
-    at_s: float
-    heard_at_s: float
+    at_s: Finite
+    heard_at_s: Finite
     is_disconnected: bool
     recent_starts: tuple[RunKey, ...] = ()
 
@@ -247,7 +253,7 @@
         is_unhealthy: Whether the worker said last that it is unhealthy.
     """
 
-    sent_at_s: float
+    sent_at_s: Finite
     term: int
     facts: WorkerInfo
     running: tuple[RunningRun, ...]
@@ -256,7 +262,7 @@
     is_looked: bool
     is_answering: bool
     is_gone: bool
-    unsure_for_s: float
+    unsure_for_s: HoldDuration
     is_restarted: bool = False
     is_accepting: bool = True
     loss: WorkerLoss | None = None
@@ -264,7 +270,7 @@
     lists_all_ends: bool = True
     needs_fence: bool = False
     is_fenced: bool = False
-    late_calls_for_s: float = 0
+    late_calls_for_s: HoldDuration = 0
     is_unhealthy: bool = False
 
 
--- a/cumintack/state/requests.py
+++ b/cumintack/state/requests.py
@@ -8,6 +8,8 @@
 
 import msgspec
 
+from cumintack.state.numbers import Finite
+
 
 class OutcomeKind(enum.Enum):
     """Outcome of a request or an attempt."""
@@ -48,7 +50,7 @@
     path: str
     headers: tuple[Header, ...]
     body: bytes
-    timeout_s: float
+    timeout_s: Finite
     is_idempotent: bool = True
     idempotency_key: str = ''
 
@@ -66,7 +68,7 @@
     request: Request
     attempt: int
     incarnation: str
-    remaining_s: float
+    remaining_s: Finite
 
 
 class Withdrawal(msgspec.Struct, frozen=True, tag=True):
@@ -104,4 +106,4 @@
     body: bytes = b''
     queued: int = 0
     busy: int = 0
-    served_s: float = 0
+    served_s: Finite = 0
