Number the calls of each process apart from those of former ones

Cause: each process counted its calls from 1, and matched an answer by the number alone. The leader answers to the name of the sender, so that the answer to a call of the former process ended a call of the new one.

Evidence: the second process of the entry logs the job as done, while the leader logs the acceptance of the job of the first process only.

Why this works: a process counts from a number that is drawn for it, and drops, counts and logs an answer with a number that it has not given out. Replicas echo the number as before, so that versions can be mixed. Orders to a guard, which have no such number, echo the process of the report.

--- a/cumintack/coordination/control_calls.py
+++ b/cumintack/coordination/control_calls.py
@@ -2,6 +2,10 @@
 
 A call keeps its session and sequence number when it is resent, so a command
 whose answer was lost is still applied only once.
+
+The numbers of the calls of one process are those of no other, also not of a
+former process of the same name: the answer to a call of that one may arrive
+long after it ended, over a link that leads to the name.
 """
 
 import msgspec
@@ -12,6 +16,10 @@
 RESEND_AFTER_S = 0.4
 # Delay before a call that did not reach the leader is resent.
 REDIRECT_RESEND_S = 0.02
+# Bits of a call number that count within a process. Those above are drawn for
+# each process, and the whole fits into the 64 bits of an encoded number.
+CALL_COUNT_BITS = 15
+HEX_BASE = 16
 
 
 class PendingCall(msgspec.Struct):
@@ -44,15 +52,47 @@
         replicas: Names of the control replicas.
         leader: Name of the leader, or empty if it is unknown.
         calls: Open calls by number.
+        first_call_id: Number before the first call of this process.
         last_call_id: Number of the latest call.
     """
 
     replicas: list[str]
     leader: str = ''
     calls: dict[int, PendingCall] = {}
+    first_call_id: int = 0
     last_call_id: int = 0
 
 
+def create_call_table(replicas: list[str], incarnation: str) -> CallTable:
+    """Create the table of a process that has just started.
+
+    Args:
+        replicas: Names of the control replicas.
+        incarnation: Random identifier of this run of the process: 12 digits
+            in hexadecimal.
+
+    Returns:
+        The table, without open calls.
+    """
+    first_call_id = int(incarnation, HEX_BASE) << CALL_COUNT_BITS
+    return CallTable(
+        replicas, first_call_id=first_call_id, last_call_id=first_call_id
+    )
+
+
+def is_own_call(table: CallTable, call_id: int) -> bool:
+    """Tell whether this process has made a call.
+
+    Args:
+        table: The open calls.
+        call_id: Number in an answer.
+
+    Returns:
+        False if a former process of the same name has made it.
+    """
+    return table.first_call_id < call_id <= table.last_call_id
+
+
 def update_replicas(
     table: CallTable,
     names: list[str],
@@ -141,10 +181,12 @@
         sender: The replica that answered, which is the leader.
 
     Returns:
-        The call, or None if it was closed before.
+        The call, or None if it was closed before or is none of this process.
     """
-    table.leader = sender
-    return table.calls.pop(call_id, None)
+    call = table.calls.pop(call_id, None)
+    if call is not None:
+        table.leader = sender
+    return call
 
 
 def redirect_call(
@@ -161,11 +203,12 @@
         leader: The leader according to the replica that answered, or empty.
         now_s: The current time.
     """
-    table.leader = leader
     call = table.calls.get(call_id)
-    if call is not None:
-        call.is_redirected = True
-        call.send_at_s = min(call.send_at_s, now_s + REDIRECT_RESEND_S)
+    if call is None:
+        return
+    table.leader = leader
+    call.is_redirected = True
+    call.send_at_s = min(call.send_at_s, now_s + REDIRECT_RESEND_S)
 
 
 class DueCalls(msgspec.Struct, frozen=True):
--- a/cumintack/coordination/runs/run_leadership.py
+++ b/cumintack/coordination/runs/run_leadership.py
@@ -246,6 +246,7 @@
         and not _is_disconnected(report)
     )
     view.is_guard_restarted = report.is_restarted
+    view.guard_incarnation = report.incarnation
     view.is_unhealthy = report.is_unhealthy
     if report.is_fenced:
         view.accepts_from_s = float('-inf')
--- a/cumintack/coordination/runs/run_orders.py
+++ b/cumintack/coordination/runs/run_orders.py
@@ -113,6 +113,7 @@
         tuple(earlier) if view.is_guard_restarted else (),
         view.fence,
         get_health_path(tables.configuration, view.facts.pool),
+        view.guard_incarnation,
     )
 
 
--- a/cumintack/coordination/runs/run_reconciliation.py
+++ b/cumintack/coordination/runs/run_reconciliation.py
@@ -169,8 +169,7 @@
         return False
     if (orders.term, orders.number) <= (state.term, state.orders_number):
         return False
-    if orders.echoed_sent_at_s < state.started_at_s:
-        # They answer the previous process of this guard.
+    if not _is_answer_to_this_process(state, orders):
         return False
     is_first_of_term = orders.term != state.term
     adopt_fence(state, orders)
@@ -198,6 +197,18 @@
     return True
 
 
+def _is_answer_to_this_process(
+    state: WorkerRunState, orders: RunOrders
+) -> bool:
+    """Return whether orders answer a report of this process of the guard.
+
+    A leader of an earlier program version names no process.
+    """
+    if orders.echoed_incarnation not in {'', state.incarnation}:
+        return False
+    return orders.echoed_sent_at_s >= state.started_at_s
+
+
 def _prune_unreferenced_runs(state: WorkerRunState) -> None:
     referenced = set(state.wanted) | set(state.stops) | get_running(state)
     for key in list(state.details):
@@ -579,4 +590,5 @@
         is_fenced(state),
         max(0, state.late_leases_until_s - now_s),
         state.is_unhealthy,
+        state.incarnation,
     )
--- a/cumintack/coordination/runs/unanswered_calls.py
+++ b/cumintack/coordination/runs/unanswered_calls.py
@@ -39,7 +39,10 @@
 
 
 def create_worker_run_state(
-    started_at_s: float, lease_s: float, max_lease_s: float
+    started_at_s: float,
+    lease_s: float,
+    max_lease_s: float,
+    incarnation: str = '',
 ) -> WorkerRunState:
     """Create the state of a guard process that has just started.
 
@@ -50,6 +53,7 @@
         started_at_s: Current time of the monotonic clock, in seconds.
         lease_s: Longest lease that a leader grants, in seconds.
         max_lease_s: Longest lease that the worker keeps, in seconds.
+        incarnation: Identifies this process of the guard.
 
     Returns:
         The state, without a worker.
@@ -63,6 +67,7 @@
         ),
         late_calls_until_s=started_at_s + MAX_CALL_DELAY_S,
         started_at_s=started_at_s,
+        incarnation=incarnation,
     )
 
 
--- a/cumintack/coordination/runs/unanswered_calls_test.py
+++ b/cumintack/coordination/runs/unanswered_calls_test.py
@@ -413,6 +413,22 @@
     assert not state.wanted
 
 
+# Guards against a lease that ends by the clock of an earlier boot.
+def test_orders_to_a_process_on_another_clock_are_ignored() -> None:
+    """The clock of a machine that lost power begins anew."""
+    state = create_worker_run_state(0, LEASE_S, MAX_LEASE_S, 'second')
+    record_worker_info(state, FIRST, 1)
+    orders = RunOrders(1, 1, FIRST.lifetime, 1000, LEASE_S, 0, (), ())
+    former = msgspec.structs.replace(orders, echoed_incarnation='first')
+    assert not apply_orders(state, former, 2)
+    assert state.lease_granted_until_s < 1000
+    own = msgspec.structs.replace(
+        orders, echoed_sent_at_s=1.5, echoed_incarnation='second'
+    )
+    assert apply_orders(state, own, 2)
+    assert _report(state, 2).incarnation == 'second'
+
+
 # Guards against runs that count as lost on a worker that has just started.
 def test_late_departure_ends_no_later_incarnation() -> None:
     """A departure names the identifier, which the next incarnation reuses."""
--- a/cumintack/coordination/runs/worker_run_state.py
+++ b/cumintack/coordination/runs/worker_run_state.py
@@ -261,6 +261,7 @@
         health_path: Path at which the worker answers health probes, empty if
             it is not probed.
         is_unhealthy: Whether this incarnation said last that it is unhealthy.
+        incarnation: Identifies this process of the guard.
     """
 
     latest_lease_end_s: float
@@ -291,6 +292,7 @@
     refusals: RefusalSpan | None = None
     health_path: str = ''
     is_unhealthy: bool = False
+    incarnation: str = ''
 
 
 def get_running(state: WorkerRunState) -> set[RunKey]:
--- a/cumintack/coordination/runs/worker_views.py
+++ b/cumintack/coordination/runs/worker_views.py
@@ -96,6 +96,7 @@
         granted_until_s: Latest end of the leases granted to it.
         unsure_for_s: How long after the report unanswered calls may still
             take effect.
+        guard_incarnation: The process of the guard that has reported last.
         is_usable: Whether the worker answers and has listed its runs.
         is_guard_restarted: Whether calls of a previous process of the guard
             may still take effect.
@@ -131,6 +132,7 @@
     up_since_s: float = float('-inf')
     granted_until_s: float = float('-inf')
     unsure_for_s: float = 0
+    guard_incarnation: str = ''
     is_usable: bool = False
     is_guard_restarted: bool = False
     is_evacuated: bool = False
--- a/cumintack/daemon/admin.py
+++ b/cumintack/daemon/admin.py
@@ -8,6 +8,7 @@
 import msgspec
 from result import Err, Ok
 
+from cumintack.coordination.control_calls import allocate_call_id
 from cumintack.coordination.entry_state import EntryState
 from cumintack.coordination.querying import (
     UPSTREAM_COLUMNS,
@@ -137,7 +138,6 @@
     __slots__ = (
         '_access',
         '_collections',
-        '_last_collection_id',
         '_node',
         '_state',
     )
@@ -148,7 +148,6 @@
         self._node = node
         self._state = state
         self._collections: dict[int, TimelineCollection] = {}
-        self._last_collection_id = 0
         self._access = OperatorAccess(
             settings.is_loopback_open,
             tuple(
@@ -354,9 +353,8 @@
         expected.update(peer.name for peer in node.settings.entries)
         expected.update(self._state.known_guards)
         expected.discard(node.settings.name)
-        self._last_collection_id += 1
         collection = TimelineCollection(
-            self._last_collection_id,
+            allocate_call_id(node.calls),
             expected,
             node.clock.now_s() + TIMELINE_TIMEOUT_S,
             limit,
--- a/cumintack/daemon/control_component.py
+++ b/cumintack/daemon/control_component.py
@@ -8,6 +8,7 @@
 from result import Err, Ok
 
 from cumintack.coordination import replication
+from cumintack.coordination.control_calls import HEX_BASE
 from cumintack.coordination.effects import ProposeAsLeader, RecordEvent, Send
 from cumintack.coordination.leadership import (
     LeaderEffect,
@@ -92,7 +93,6 @@
 from cumintack.transport.journal import FatalDiskError, Journal
 
 EXIT_DISK_FAILED = 3
-HEX_BASE = 16
 # Size of the smallest group that tolerates the loss of one voter.
 MIN_VOTERS = 3
 # Seconds that a stopping leader waits for its successor to be elected; an
--- a/cumintack/daemon/metric_definitions.py
+++ b/cumintack/daemon/metric_definitions.py
@@ -97,6 +97,7 @@
     _count('guard.platform_failed', 'Calls to the agent that failed.'),
     _count('guard.started', 'Attempts sent to the upstream.'),
     _count('guard.unknown', 'Attempts with unknown outcome.'),
+    _count('node.foreign-answer', 'Answers to calls of former processes.'),
     MetricName('config.revision', 'gauge', 'revision', 'Revision in use.'),
     MetricName('guard.busy', 'gauge', 'slots', 'Slots in use.'),
     MetricName('guard.queued', 'gauge', 'requests', 'Requests waiting.'),
--- a/cumintack/daemon/node.py
+++ b/cumintack/daemon/node.py
@@ -17,9 +17,10 @@
 import structlog
 
 from cumintack.coordination.control_calls import (
-    CallTable,
     allocate_call_id,
     close_call,
+    create_call_table,
+    is_own_call,
     open_call,
     redirect_call,
     tick_calls,
@@ -193,7 +194,7 @@
         self.configuration = Configuration()
         self.components: list[Component] = []
         names = [peer.name for peer in settings.control_replicas]
-        self.calls = CallTable(names)
+        self.calls = create_call_table(names, self.incarnation)
         self._event_file: EventFile | None = None
         self._metrics_page: MetricsPage | None = None
         if settings.log.events_file:
@@ -407,6 +408,15 @@
                         return
 
     def _handle_reply(self, sender: str, message: CallReply) -> None:
+        if not is_own_call(self.calls, message.call_id):
+            self.metrics.count('node.foreign-answer')
+            logger.info(
+                'node: answer to a former process dropped',
+                peer=sender,
+                call=message.call_id,
+                kind=type(message).__name__,
+            )
+            return
         now_s = self.clock.now_s()
         error = message.error
         if error is not None and error.code in {
--- a/cumintack/daemon/node_test.py
+++ b/cumintack/daemon/node_test.py
@@ -5,11 +5,15 @@
 
 import threading
 
+import msgspec
 import pytest
 
 from cumintack.daemon import node as node_module
-from cumintack.daemon.node import GOODBYE_LINGER_S, Node
-from cumintack.daemon.settings import Settings
+from cumintack.daemon.node import GOODBYE_LINGER_S, CallReply, Node
+from cumintack.daemon.settings import PeerSettings, Settings
+from cumintack.protocol.messages import Proposed, QueryReply, QueryRequest
+from cumintack.protocol.run_messages import WorkflowReply
+from cumintack.state.commands import Outcome
 from cumintack.transport.clock import SystemClock
 from cumintack.transport.http_server import find_free_port
 
@@ -55,3 +59,42 @@
     thread.start()
     thread.join(JOIN_TIMEOUT_S)
     assert not thread.is_alive()
+
+
+# Guards against an entry that accepts a job by the answer to a former process.
+@pytest.mark.parametrize(
+    'answer',
+    [
+        Proposed(0, Outcome(1)),
+        QueryReply(0, b'[]'),
+        WorkflowReply(0, 'completed'),
+    ],
+)
+def test_answer_to_a_former_process_ends_no_call(
+    answer: CallReply,
+) -> None:
+    """Two processes of one name that were killed made the same calls."""
+    first, second, current = (_create_caller() for _ in range(3))
+    sent = [_call(node) for node in (first, second, current)]
+    taken: list[CallReply | None] = []
+    own_call_id = _call(current, taken)
+    for number in (1, 2, *sent[:2]):
+        foreign = msgspec.structs.replace(answer, call_id=number)
+        current._handle('control', foreign)
+    assert not taken
+    assert current.metrics.counts['node.foreign-answer'] == 4
+    own = msgspec.structs.replace(answer, call_id=own_call_id)
+    current._handle('control', own)
+    assert taken == [own]
+
+
+def _create_caller() -> Node:
+    replicas = (PeerSettings('control', '127.0.0.1:1'),)
+    settings = Settings('entry', 'yard', '127.0.0.1:1', replicas)
+    return Node(settings, SystemClock(), None)
+
+
+def _call(node: Node, taken: list[CallReply | None] | None = None) -> int:
+    replies = [] if taken is None else taken
+    node.call(lambda call_id: QueryRequest(call_id, ''), 5, replies.append)
+    return node.calls.last_call_id
--- a/cumintack/daemon/workflow_guard_component.py
+++ b/cumintack/daemon/workflow_guard_component.py
@@ -187,6 +187,7 @@
             node.clock.now_s(),
             settings.run_lease_ms / MS_PER_S,
             settings.max_lease_ms / MS_PER_S,
+            node.incarnation,
         )
         self._next_report_at_s = 0.0
         self._lease_sent_until_s = 0.0
--- a/cumintack/daemon/workflow_guard_component_test.py
+++ b/cumintack/daemon/workflow_guard_component_test.py
@@ -91,6 +91,7 @@
         self.post = self.posted.put
         self.clock = SimpleNamespace(now_s=self._read_clock)
         self.calls = SimpleNamespace(leader='')
+        self.incarnation = 'process'
         self.queue_version: int | None = None
         self.counts: dict[str, int] = {}
         self.metrics = SimpleNamespace(observe=self._observe, count=self._count)
--- a/cumintack/protocol/run_messages.py
+++ b/cumintack/protocol/run_messages.py
@@ -101,6 +101,9 @@
             none. With the term it is the fencing token of calls to the worker.
         health_path: Path at which the worker answers health probes, empty if
             it is not probed.
+        echoed_incarnation: The guard process whose report is answered, empty
+            if it gave none. A former process of the same name may have run on
+            another clock.
     """
 
     term: int
@@ -115,6 +118,7 @@
     earlier: tuple[RunKey, ...] = ()
     fence: int = 0
     health_path: str = ''
+    echoed_incarnation: str = ''
 
 
 class RunningRun(msgspec.Struct, frozen=True, array_like=True):
@@ -251,6 +255,7 @@
         late_calls_for_s: How long calls like one that went unanswered here
             may prolong leases on other workers, 0 if none has.
         is_unhealthy: Whether the worker said last that it is unhealthy.
+        incarnation: Changes when the guard restarts.
     """
 
     sent_at_s: Finite
@@ -272,6 +277,7 @@
     is_fenced: bool = False
     late_calls_for_s: HoldDuration = 0
     is_unhealthy: bool = False
+    incarnation: str = ''
 
 
 class WorkflowQuery(msgspec.Struct, frozen=True, tag=True):
