Ask the adviser only for steps that can be placed, and in turn

Cause: the one open request to the adviser went to the first waiting step by rank without a valid ticket, whether or not any worker could hold its tasks. Their tickets ran out unused and were asked for again first.

Evidence: from the third hopeless job on the adviser's calls, and the lines "control: advice taken" of the leader, name these steps only.

Why this works: a step is asked for on workers on which its tasks fit now, or will before the tickets run out; a gang only as a whole. Every other request goes to the step that was asked for least recently. Two related places had the fault too: a gang that was not placed used up the one trial of a worker on probation, and hopeless tasks used up the number of reservations of the packed placement.

--- a/cumintack/coordination/runs/admission_advice.py
+++ b/cumintack/coordination/runs/admission_advice.py
@@ -10,8 +10,6 @@
 
 import msgspec
 
-from cumintack.coordination.runs.waiting.step_ranking import rank_step
-from cumintack.coordination.runs.worker_views import WorkerView, is_schedulable
 from cumintack.state.workflows import StepKey, WorkflowTables
 
 # Workers named in one request: half as many as the time objective of a step
@@ -61,10 +59,12 @@
     Attributes:
         tickets: The latest ticket, by incarnation of an admitted worker.
         denied_lifetimes: Incarnations of workers that are not admitted.
+        asked_at_s: When the adviser was last asked for it.
     """
 
     tickets: dict[str, Ticket] = {}
     denied_lifetimes: set[str] = set()
+    asked_at_s: float = float('-inf')
 
 
 class AdviceState(msgspec.Struct):
@@ -74,11 +74,14 @@
         steps: The advice for each step.
         is_request_open: Whether a request waits for its answer.
         retry_at_s: When the next request may be sent.
+        is_turn_of_oldest: Whether the next request goes to the step that was
+            asked for least recently, not to the first by rank.
     """
 
     steps: dict[StepKey, StepAdvice] = {}
     is_request_open: bool = False
     retry_at_s: float = 0
+    is_turn_of_oldest: bool = False
 
 
 def find_valid_ticket(
@@ -105,40 +108,6 @@
     return ticket.text
 
 
-def choose_advice_request(
-    state: AdviceState,
-    tables: WorkflowTables,
-    views: dict[str, WorkerView],
-    now_s: float,
-    now_ms: float,
-) -> AdviceRequest | None:
-    """Choose the next request: the first waiting step that lacks tickets.
-
-    Args:
-        state: The advice received so far, changed in place.
-        tables: The replicated workflow tables.
-        views: The workers, by name of their guard.
-        now_s: Current time of the monotonic clock, in seconds.
-        now_ms: Current wall-clock time, in ms.
-
-    Returns:
-        The request, or None if none is due.
-    """
-    if state.is_request_open or now_s < state.retry_at_s:
-        return None
-    ranks = sorted(
-        rank_step(tables, key, now_ms)
-        for key in tables.index.waiting
-        if needs_advice(tables, key)
-    )
-    for rank in ranks:
-        lifetimes = _choose_workers(state, tables, rank.key, views, now_s)
-        if lifetimes:
-            state.is_request_open = True
-            return AdviceRequest(rank.key, lifetimes)
-    return None
-
-
 def needs_advice(tables: WorkflowTables, step: StepKey) -> bool:
     """Tell whether a step needs admission tickets.
 
@@ -152,33 +121,6 @@
     return tables.workflows[step.workflow_id].queue.advice is not None
 
 
-def _choose_workers(
-    state: AdviceState,
-    tables: WorkflowTables,
-    step: StepKey,
-    views: dict[str, WorkerView],
-    now_s: float,
-) -> dict[str, str]:
-    step_advice = state.steps.setdefault(step, StepAdvice())
-    pool = tables.workflows[step.workflow_id].queue.pool
-    workers = [
-        view.facts
-        for view in views.values()
-        if view.facts.pool == pool
-        and is_schedulable(view, now_s)
-        and view.facts.lifetime not in step_advice.denied_lifetimes
-        and find_valid_ticket(state, step, view.facts.lifetime, now_s) is None
-    ]
-    # Workers that were admitted before will be admitted again.
-    workers.sort(
-        key=lambda worker_info: worker_info.lifetime not in step_advice.tickets
-    )
-    return {
-        worker_info.worker_id: worker_info.lifetime
-        for worker_info in workers[:MAX_WORKERS_PER_REQUEST]
-    }
-
-
 def record_advice(
     state: AdviceState,
     request: AdviceRequest,
--- a/cumintack/coordination/runs/admission_advice_test.py
+++ b/cumintack/coordination/runs/admission_advice_test.py
@@ -8,10 +8,10 @@
     TICKET_MARGIN_S,
     Advice,
     AdviceRequest,
-    choose_advice_request,
     find_valid_ticket,
     record_advice,
 )
+from cumintack.coordination.runs.advice_requests import choose_advice_request
 from cumintack.coordination.runs.run_leadership import (
     RunEffect,
     handle_applied_run_operation,
@@ -22,6 +22,10 @@
     RunLeadership,
     RunSettings,
 )
+from cumintack.coordination.runs.scheduling_passes import create_pass
+from cumintack.coordination.runs.waiting.step_ranking import (
+    rank_waiting_steps,
+)
 from cumintack.protocol.run_messages import (
     ClosedRun,
     EndedRun,
@@ -103,13 +107,9 @@
 
     def choose_request(self, now_s: float) -> AdviceRequest | None:
         """Choose the next advice request."""
-        return choose_advice_request(
-            self.leadership.advice,
-            self.tables,
-            self.leadership.views,
-            now_s,
-            0,
-        )
+        ranks = rank_waiting_steps(self.leadership.cached_ranks, self.tables, 0)
+        scheduling_pass = create_pass(self.leadership, self.tables, now_s)
+        return choose_advice_request(scheduling_pass, ranks)
 
     def answer(
         self, request: AdviceRequest, allowed: str, now_s: float
--- a/cumintack/coordination/runs/failed_task_placement_test.py
+++ b/cumintack/coordination/runs/failed_task_placement_test.py
@@ -226,3 +226,16 @@
     harness.fail()
     assert harness.find_guard(f'{FAILING_ID}.0.0.1') == 'w1'
     assert not harness.find_guard()
+
+
+# Guards against a gang that never fits and keeps others off a worker.
+def test_gang_without_room_takes_no_trial() -> None:
+    """Its first member was placed in vain, and is no trial of the worker."""
+    harness = FailureHarness(_create_worker('w1'))
+    harness.submit(FAILING_ID)
+    harness.fail()
+    harness.fail()
+    harness.submit(FILLER_ID, StepSpec(3, STEP.need, 100, is_gang=True))
+    harness.advance(COOLDOWN_S / 2)
+    harness.advance(COOLDOWN_S / 2)
+    assert harness.find_guard() == 'w1'
--- a/cumintack/coordination/runs/placement.py
+++ b/cumintack/coordination/runs/placement.py
@@ -188,7 +188,7 @@
     usage = get_usage(scheduling_pass.index, tables, view)
     if record is None or not is_schedulable(view, scheduling_pass.now_s):
         return
-    if _rate_worker(scheduling_pass, view, usage, kind) is None:
+    if rate_worker(scheduling_pass, view, usage, kind) is None:
         return
     step = get_step(tables, step_key)
     request = TaskRequest(task, step, record, kind, needs_ticket=False)
@@ -401,7 +401,7 @@
     scheduling_pass: SchedulingPass, view: WorkerView, request: TaskRequest
 ) -> bool:
     usage = get_usage(scheduling_pass.index, scheduling_pass.tables, view)
-    if _rate_worker(scheduling_pass, view, usage, request.kind) is None:
+    if rate_worker(scheduling_pass, view, usage, request.kind) is None:
         return False
     return not request.needs_ticket or _has_ticket(
         scheduling_pass, view, request
@@ -449,6 +449,11 @@
     if len(requests) < step.task_count:
         return
     start_count = len(scheduling_pass.starts)
+    trials = {
+        view.guard: view.trial_placed_at_s
+        for view in scheduling_pass.views.values()
+        if is_on_probation(view, scheduling_pass.now_s)
+    }
     run = 1 + max(request.record.run for request in requests)
     for request in requests:
         view = _choose_worker(scheduling_pass, request)
@@ -458,6 +463,9 @@
                     scheduling_pass.index, start.guard, start.task_id
                 )
             del scheduling_pass.starts[start_count:]
+            # A trial that did not take place must not keep others away.
+            for guard, placed_at_s in trials.items():
+                scheduling_pass.views[guard].trial_placed_at_s = placed_at_s
             return
         _record_start(scheduling_pass, request, view, run)
 
@@ -510,7 +518,7 @@
         kind,
         scheduling_pass.tables,
         scheduling_pass.views,
-        lambda view, usage: _rate_worker(scheduling_pass, view, usage, kind),
+        lambda view, usage: rate_worker(scheduling_pass, view, usage, kind),
         scheduling_pass.now_s,
     )
 
@@ -539,7 +547,7 @@
     best_rank = (max(least, Objection.failed_earlier), float('inf'))
     for view in suitable:
         usage = get_usage(scheduling_pass.index, scheduling_pass.tables, view)
-        score = _rate_worker(scheduling_pass, view, usage, request.kind)
+        score = rate_worker(scheduling_pass, view, usage, request.kind)
         if score is None:
             continue
         rank = (objections[view.guard], -score)
@@ -575,13 +583,23 @@
     return Objection.failed_earlier
 
 
-def _rate_worker(
+def rate_worker(
     scheduling_pass: SchedulingPass,
     view: WorkerView,
     usage: WorkerUsage,
     kind: TaskKind,
 ) -> float | None:
-    """Return the score of a worker, None if it cannot run the task."""
+    """Rate a worker for a kind of task.
+
+    Args:
+        scheduling_pass: The current scheduling pass.
+        view: The worker as last reported.
+        usage: Its usage.
+        kind: The kind of task.
+
+    Returns:
+        The score, None if it cannot run such a task now.
+    """
     if not _can_run(view, usage, kind):
         return None
     reservation = scheduling_pass.reservations.get(view.guard)
--- a/cumintack/coordination/runs/run_leadership.py
+++ b/cumintack/coordination/runs/run_leadership.py
@@ -51,8 +51,6 @@
     update_progress,
 )
 from cumintack.coordination.runs.placement import (
-    MIN_ORDERED_SPEED,
-    MIN_SPEED,
     SchedulingPass,
     place_migrated,
     place_waiting,
@@ -68,6 +66,10 @@
     OrderContext,
     create_run_orders,
 )
+from cumintack.coordination.runs.scheduling_passes import (
+    create_pass,
+    get_step_order,
+)
 from cumintack.coordination.runs.stall_detection import detect_stalled_runs
 from cumintack.coordination.runs.waiting.room_reservation import (
     RESERVATION_INTERVAL_S,
@@ -78,9 +80,6 @@
     prune_run_times,
 )
 from cumintack.coordination.runs.waiting.step_ranking import (
-    DUE_TIME_ORDER,
-    RemainingWorkOrder,
-    StepOrder,
     StepRank,
     rank_waiting_steps,
 )
@@ -677,7 +676,7 @@
     tables: WorkflowTables,
     now_s: float,
 ) -> None:
-    scheduling_pass = _create_pass(leadership, tables, now_s)
+    scheduling_pass = create_pass(leadership, tables, now_s)
     for migration in choose_migrations(
         scheduling_pass, leadership.migrated_at_s
     ):
@@ -687,35 +686,6 @@
         leadership.guards_to_update[_get_guard(tables, key.task_id)] = None
 
 
-def _create_pass(
-    leadership: RunLeadership,
-    tables: WorkflowTables,
-    now_s: float,
-) -> SchedulingPass:
-    return SchedulingPass(
-        tables,
-        leadership.views,
-        leadership.index,
-        leadership.proposed_starts,
-        leadership.interference,
-        leadership.advice,
-        now_s,
-        min_speed=(
-            MIN_ORDERED_SPEED
-            if leadership.settings.is_ordered_by_work
-            else MIN_SPEED
-        ),
-        is_packed=leadership.settings.is_packed,
-        reservations=leadership.reservations,
-    )
-
-
-def _get_step_order(leadership: RunLeadership) -> StepOrder:
-    if leadership.settings.is_ordered_by_work:
-        return RemainingWorkOrder(leadership.run_times)
-    return DUE_TIME_ORDER
-
-
 def _run_pass(
     leadership: RunLeadership,
     tables: WorkflowTables,
@@ -725,10 +695,10 @@
     if not tables.index.waiting and not leadership.reserved_guards:
         _replace_reservations(leadership, {})
         return []
-    scheduling_pass = _create_pass(leadership, tables, now_s)
+    scheduling_pass = create_pass(leadership, tables, now_s)
     place_migrated(scheduling_pass, leadership.reserved_guards)
     ranks = rank_waiting_steps(
-        leadership.cached_ranks, tables, now_ms, _get_step_order(leadership)
+        leadership.cached_ranks, tables, now_ms, get_step_order(leadership)
     )
     starts = place_waiting(scheduling_pass, ranks)
     _update_reservations(leadership, scheduling_pass, ranks)
--- a/cumintack/coordination/runs/waiting/room_reservation.py
+++ b/cumintack/coordination/runs/waiting/room_reservation.py
@@ -184,12 +184,21 @@
     )
     reservations: Reservations = {}
     left = {forecast.view.guard: forecast for forecast in forecasts}
-    for need in needs[:max_count]:
+    # Tasks that no worker will have room for must not use up the room of those
+    # behind them.
+    hopeless: set[TaskKind] = set()
+    for need in needs:
+        if len(reservations) >= max_count:
+            break
+        if need.kind in hopeless:
+            continue
         reservation = _reserve(need, left, is_suitable, now_s)
-        if reservation is not None:
-            guard, reserved = reservation
-            reservations[guard] = reserved
-            left.pop(guard)
+        if reservation is None:
+            hopeless.add(need.kind)
+            continue
+        guard, reserved = reservation
+        reservations[guard] = reserved
+        left.pop(guard)
     return reservations
 
 
--- a/cumintack/coordination/runs/waiting/room_reservation_test.py
+++ b/cumintack/coordination/runs/waiting/room_reservation_test.py
@@ -315,6 +315,26 @@
     assert set(reservations) == {'w7', 'w6'}
 
 
+# Guards against hopeless tasks that use up the room kept for others.
+def test_room_is_kept_for_tasks_behind_those_that_fit_nowhere() -> None:
+    """A task that no worker can hold has no room to keep."""
+    forecasts = [
+        _create_forecast(f'w{number}', 2000, 1, 9 - number)
+        for number in range(8)
+    ]
+    possible = StepKey('1', 0, 0)
+    reservations = plan_reservations(
+        [
+            WaitingDemand(StepKey('0', 0, 0), _create_kind(200000, 1000), 5),
+            WaitingDemand(possible, _create_kind(4000, 1000), 1),
+        ],
+        forecasts,
+        lambda view, suited: True,
+        0,
+    )
+    assert [kept.step_key for kept in reservations.values()] == [possible]
+
+
 @pytest.mark.parametrize(
     ('cores_milli', 'estimate_ms', 'is_allowed'),
     [
--- a/cumintack/daemon/advice_requester.py
+++ b/cumintack/daemon/advice_requester.py
@@ -13,14 +13,21 @@
 from cumintack.coordination.runs.admission_advice import (
     Advice,
     AdviceRequest,
-    choose_advice_request,
     record_advice,
 )
+from cumintack.coordination.runs.advice_requests import choose_advice_request
 from cumintack.coordination.runs.run_leadership_state import (
     RunLeadership,
 )
+from cumintack.coordination.runs.scheduling_passes import (
+    create_pass,
+    get_step_order,
+)
+from cumintack.coordination.runs.waiting.step_ranking import (
+    rank_waiting_steps,
+)
 from cumintack.daemon.node import Node
-from cumintack.state.errors import StepError, format_error
+from cumintack.state.errors import ErrorCode, StepError, format_error
 from cumintack.state.workflows import WorkflowTables
 
 logger = structlog.get_logger()
@@ -58,18 +65,23 @@
         adviser = self._adviser
         if adviser is None:
             return
+        state = leadership.advice
+        if state.is_request_open or now_s < state.retry_at_s:
+            return
         request = choose_advice_request(
-            leadership.advice,
-            tables,
-            leadership.views,
-            now_s,
-            now_ms,
+            create_pass(leadership, tables, now_s),
+            rank_waiting_steps(
+                leadership.cached_ranks,
+                tables,
+                now_ms,
+                get_step_order(leadership),
+            ),
         )
         if request is None:
             return
 
         def request_advice() -> None:
-            answer = adviser.ask(request)
+            answer = _ask(adviser, request)
             self._node.post(
                 lambda: self._handle_answer(leadership, request, answer)
             )
@@ -97,3 +109,18 @@
             leadership.advice, request, advice, self._node.clock.now_s()
         )
         leadership.needs_pass = True
+
+
+def _ask(adviser: Adviser, request: AdviceRequest) -> Result[Advice, StepError]:
+    """Ask the adviser; an unexpected error counts as no answer.
+
+    A thread that ended instead would leave the request open for good.
+    """
+    try:
+        return adviser.ask(request)
+    except Exception as error:  # noqa: BLE001
+        return Err(
+            StepError(
+                ErrorCode.invalid, 'advice.ask', detail=type(error).__name__
+            )
+        )
