Withhold ends of repeated runs while the first start may come late

Cause: nothing binds the next incarnation of a worker before it is polled, and the end of the run, or the stop that made way for a run elsewhere, counted although a start of it could still be carried out.

Evidence: the guard logs two calls for the start, the first unanswered; the record of the worker shows the late one 5 ms after its new life began.

Why this works: while the twin of a repeated start may come, its end as done is recorded but not acknowledged, so that it is not taken note of; another end is held back, and a stopped run is not absent, so that no run begins elsewhere. Where nothing was repeated, nothing waits. The next incarnation is polled sooner.

One test changes: test_run_is_not_absent_after_unanswered_start took a confirmed stop for the absence of a run. An incarnation that knows of no stop may still begin it, so that the test now expects absence only after the time of a late start, and not at the stop.

--- a/cumintack/coordination/runs/due_calls.py
+++ b/cumintack/coordination/runs/due_calls.py
@@ -12,6 +12,8 @@
 from cumintack.coordination.runs.unanswered_calls import (
     forget_latest_start,
     list_unanswered_starts,
+    may_come_late,
+    record_repeated_start,
 )
 from cumintack.coordination.runs.worker_run_state import (
     PaceRun,
@@ -211,6 +213,8 @@
     details = state.details.get(key)
     if details is None or state.lease_granted_until_s - now_s <= MIN_LEASE_S:
         return
+    if may_come_late(state, key, now_s):
+        record_repeated_start(state, key)
     call_state.is_in_flight = True
     call_state.is_start = True
     state.latest_lease_end_s = max(
--- a/cumintack/coordination/runs/run_reconciliation.py
+++ b/cumintack/coordination/runs/run_reconciliation.py
@@ -22,12 +22,15 @@
 from cumintack.coordination.runs.unanswered_calls import (
     MAX_CALL_DELAY_S,
     clear_unanswered_start,
+    find_acknowledgeable_ends,
     get_latest_effect,
+    has_late_twin,
     has_unanswered_start,
     is_accepting,
     is_restarted,
     list_possibly_started,
     list_unanswered_starts,
+    may_come_late,
     may_reach_worker,
     prune_unanswered_calls,
     record_earlier_leases,
@@ -73,6 +76,7 @@
     RunReport,
     WorkerInfo,
 )
+from cumintack.state.workflows import RunEndKind
 
 # Seconds until an unanswered call is repeated.
 RETRY_DELAY_S = 0.3
@@ -124,6 +128,8 @@
     state.last_answer_at_s = now_s
     clear_refusals(state)
     state.settled = SettledEnds()
+    state.acknowledgeable = SettledEnds()
+    state.held_ends = {}
     state.orders_number = 0
     state.wanted = {}
     state.stops = {}
@@ -193,10 +199,21 @@
         if is_first_of_term:
             record_inherited_runs(state, state.facts, orders.wanted)
         record_earlier_runs(state, orders.earlier)
+    _release_held_ends(state, orders)
+    state.acknowledgeable = find_acknowledgeable_ends(state, now_s)
     _prune_unreferenced_runs(state)
     return True
 
 
+def _release_held_ends(state: WorkerRunState, orders: RunOrders) -> None:
+    """Release the held ends that orders show to be recorded."""
+    for number, reported_at_s in list(state.held_ends.items()):
+        if reported_at_s is None or orders.echoed_sent_at_s < reported_at_s:
+            continue
+        if orders.settled_number >= number:
+            state.held_ends.pop(number)
+
+
 def _is_answer_to_this_process(
     state: WorkerRunState, orders: RunOrders
 ) -> bool:
@@ -240,15 +257,12 @@
     state.last_answer_at_s = poll.answered_at_s
     state.latest_poll = poll
     record_fence(state, poll)
+    state.acknowledgeable = find_acknowledgeable_ends(state, poll.answered_at_s)
     has_news = previous is None or previous.ended != poll.ended
     if is_lost(state):
         clear_worker_loss(state, poll.lifetime)
         has_news = True
-    if poll.lists_all_ends:
-        shown = get_running(state) | get_ended(state)
-        for key, call_state in state.call_states.items():
-            if key not in shown:
-                has_news = _check_absence(call_state, poll) or has_news
+    has_news = _check_absences(state, poll) or has_news
     update_paces(state.pacing, poll.running, state.details, poll.answered_at_s)
     return has_news
 
@@ -263,6 +277,33 @@
     return is_later
 
 
+def _check_absences(state: WorkerRunState, poll: PollResult) -> bool:
+    """Mark the runs that a poll shows to be absent.
+
+    Returns:
+        Whether there are any.
+    """
+    if not poll.lists_all_ends:
+        return False
+    shown = get_running(state) | get_ended(state)
+    has_news = False
+    for key, call_state in state.call_states.items():
+        if key in shown or _is_start_awaited(state, key, poll.answered_at_s):
+            continue
+        has_news = _check_absence(call_state, poll) or has_news
+    return has_news
+
+
+def _is_start_awaited(state: WorkerRunState, key: RunKey, now_s: float) -> bool:
+    """Return whether a run must not begin elsewhere because of a late start.
+
+    An incarnation that knows nothing of a stop might carry the start out.
+    """
+    start = state.unanswered_starts.get(key)
+    is_known = start is not None and not start.is_assumed
+    return is_known and may_come_late(state, key, now_s)
+
+
 def _check_absence(call_state: RunCallState, poll: PollResult) -> bool:
     if call_state.absence_reason:
         return False
@@ -333,11 +374,13 @@
     record_unanswered_lease(
         state, call.lease_until_s, answer.answered_at_s, call.token, 'start'
     )
+    earlier = state.unanswered_starts.get(call.key)
     state.unanswered_starts[call.key] = UnansweredStart(
         worker_info.worker_id,
         answer.answered_at_s + MAX_CALL_DELAY_S,
         worker_info.lifetime,
         token=call.token,
+        is_repeated=earlier is not None and earlier.is_repeated,
     )
 
 
@@ -422,10 +465,10 @@
         worker_info: The worker that the acknowledgement is for.
 
     Returns:
-        The number, 0 if none of its ends is recorded.
+        The number, 0 if none of its ends is recorded and final.
     """
-    settled = state.settled
-    return settled.number if settled.lifetime == worker_info.lifetime else 0
+    ends = state.acknowledgeable
+    return ends.number if ends.lifetime == worker_info.lifetime else 0
 
 
 def is_every_lease_expired(state: WorkerRunState, now_s: float) -> bool:
@@ -494,11 +537,31 @@
         state.latest_poll = None
 
 
+def _list_ends_to_report(
+    state: WorkerRunState, poll: PollResult, now_s: float
+) -> list[EndedRun]:
+    """List the ends that are not acknowledged, but for those that wait.
+
+    A task that is not done is started again, elsewhere perhaps. It waits until
+    the next incarnation can no longer begin the run that has ended.
+    """
+    reported = []
+    for end in poll.ended:
+        is_done = end.kind == RunEndKind.done.value
+        if not is_done and has_late_twin(state, end.key, now_s):
+            state.held_ends[end.number] = None
+        elif end.number > state.acknowledgeable.number:
+            reported.append(end)
+            if state.held_ends.get(end.number, now_s) is None:
+                state.held_ends[end.number] = now_s
+    return reported
+
+
 def _has_unsettled_ends(state: WorkerRunState) -> bool:
     """Return whether the leader may not have recorded all listed ends yet."""
     poll = state.latest_poll
     return poll is not None and any(
-        end.number > state.settled.number for end in poll.ended
+        end.number > state.acknowledgeable.number for end in poll.ended
     )
 
 
@@ -561,9 +624,7 @@
             )
             for run in poll.running
         )
-        ended = tuple(
-            end for end in poll.ended if end.number > state.settled.number
-        )
+        ended = tuple(_list_ends_to_report(state, poll, now_s))
     ordered = [*state.wanted, *state.stops]
     return RunReport(
         now_s,
--- a/cumintack/coordination/runs/run_reconciliation_test.py
+++ b/cumintack/coordination/runs/run_reconciliation_test.py
@@ -126,7 +126,10 @@
 
 
 def test_run_is_not_absent_after_unanswered_start() -> None:
-    """After an unanswered start, only a confirmed stop proves absence."""
+    """Absence takes a confirmed stop, and the start must come late no more.
+
+    The next incarnation would know nothing of the stop.
+    """
     state = _create_state(KEY)
     start = list_due_calls(state, 0.1)[0]
     handle_call_answer(
@@ -144,11 +147,15 @@
     apply_poll_result(state, _create_poll(2.2))
     report = create_report(state, 2.3)
     assert report is not None
-    assert [run.key for run in report.closed] == [KEY]
+    assert not report.closed
     # The late start is refused, and still extends the lease of other runs.
     assert report.unsure_for_s == pytest.approx(
         1.1 + MAX_LEASE_S + MAX_CALL_DELAY_S - 2.3
     )
+    apply_poll_result(state, _create_poll(1.1 + MAX_CALL_DELAY_S + 0.1))
+    report = create_report(state, 1.1 + MAX_CALL_DELAY_S + 0.2)
+    assert report is not None
+    assert [run.key for run in report.closed] == [KEY]
 
 
 def test_refusal_after_an_unanswered_start_needs_a_stop() -> None:
--- a/cumintack/coordination/runs/unanswered_calls.py
+++ b/cumintack/coordination/runs/unanswered_calls.py
@@ -19,6 +19,7 @@
     FencingToken,
     RunCallState,
     SentAcknowledgement,
+    SettledEnds,
     StartRun,
     UnansweredStart,
     UncertainLease,
@@ -178,7 +179,10 @@
                 uncertain_until_s=max(until_s, state.uncertain_lease.until_s)
             )
             state.unanswered_starts[key] = UnansweredStart(
-                worker_info.worker_id, until_s, worker_info.lifetime
+                worker_info.worker_id,
+                until_s,
+                worker_info.lifetime,
+                is_assumed=True,
             )
 
 
@@ -191,7 +195,9 @@
         state: The state of the runs on the worker.
         keys: Runs that the leader has recorded on earlier incarnations.
     """
-    start = UnansweredStart('', state.started_at_s + MAX_CALL_DELAY_S, '')
+    start = UnansweredStart(
+        '', state.started_at_s + MAX_CALL_DELAY_S, '', is_assumed=True
+    )
     for key in keys:
         state.unanswered_starts.setdefault(key, start)
 
@@ -415,6 +421,84 @@
     )
 
 
+def record_repeated_start(state: WorkerRunState, key: RunKey) -> None:
+    """Record that a run is started again while a start of it is unanswered.
+
+    Args:
+        state: The state of the runs on the worker.
+        key: The run.
+    """
+    start = state.unanswered_starts.get(key)
+    if start is not None:
+        state.unanswered_starts[key] = msgspec.structs.replace(
+            start, is_repeated=True
+        )
+
+
+def may_come_late(state: WorkerRunState, key: RunKey, now_s: float) -> bool:
+    """Tell whether an unanswered start of a run may still be carried out.
+
+    Args:
+        state: The state of the runs on the worker.
+        key: The run.
+        now_s: Current time of the monotonic clock, in seconds.
+
+    Returns:
+        Whether a later incarnation, which knows nothing of the run, may begin
+        it.
+    """
+    start = state.unanswered_starts.get(key)
+    if start is None:
+        return False
+    return start.is_in_flight or now_s <= start.until_s
+
+
+def has_late_twin(state: WorkerRunState, key: RunKey, now_s: float) -> bool:
+    """Tell whether a run was started again and may begin once more.
+
+    Args:
+        state: The state of the runs on the worker.
+        key: The run.
+        now_s: Current time of the monotonic clock, in seconds.
+
+    Returns:
+        False if there was one start only, which a listed run has used up.
+    """
+    start = state.unanswered_starts.get(key)
+    is_repeated = start is not None and start.is_repeated
+    return is_repeated and may_come_late(state, key, now_s)
+
+
+def find_acknowledgeable_ends(
+    state: WorkerRunState, now_s: float
+) -> SettledEnds:
+    """Find up to which number the recorded ends may be acknowledged.
+
+    An end counts as final once it is acknowledged. It is not while the worker
+    might begin the run again after a crash, on an earlier start of it. A list
+    that leaves out ends is acknowledged all the same, since nothing would be
+    known of the others.
+
+    Args:
+        state: The state of the runs on the worker.
+        now_s: Current time of the monotonic clock, in seconds.
+
+    Returns:
+        The ends, with the incarnation that has listed them.
+    """
+    settled = state.settled
+    poll = state.latest_poll
+    if poll is None or not poll.lists_all_ends:
+        return settled
+    withheld = [
+        end.number for end in poll.ended if has_late_twin(state, end.key, now_s)
+    ]
+    withheld.extend(state.held_ends)
+    first_withheld = min(withheld, default=settled.number + 1)
+    number = min(settled.number, first_withheld - 1)
+    return SettledEnds(settled.lifetime, number)
+
+
 def forget_latest_start(state: WorkerRunState, key: RunKey) -> None:
     """Forget a start for a previous incarnation, but none that preceded it.
 
--- a/cumintack/coordination/runs/worker_run_state.py
+++ b/cumintack/coordination/runs/worker_run_state.py
@@ -139,6 +139,11 @@
             carried out, also if the latest one is answered.
         token: Highest token of the starts of the run.
         is_in_flight: Whether the call still waits for its answer.
+        is_repeated: Whether the run was started again while this start could
+            still be carried out, so that a run that is listed does not show
+            that it was.
+        is_assumed: Whether a previous process of the guard may have made it,
+            and nothing shows that it has.
     """
 
     worker_id: str
@@ -147,6 +152,8 @@
     repeated_until_s: float = float('-inf')
     token: FencingToken = INHERITED_TOKEN
     is_in_flight: bool = False
+    is_repeated: bool = False
+    is_assumed: bool = False
 
 
 class SentAcknowledgement(msgspec.Struct, frozen=True):
@@ -234,8 +241,13 @@
         is_gone: Whether this incarnation of the worker has ended.
         last_answer_at_s: When the worker last answered.
         lease_granted_until_s: End of the lease that the leader granted.
-        settled: The ends that the leader has recorded. Other threads read it,
-            so that the incarnation and the number are replaced together.
+        settled: The ends that the leader has recorded.
+        acknowledgeable: Those of them that may be acknowledged. Other threads
+            read it, so that the incarnation and the number are replaced
+            together.
+        held_ends: Numbers of ends that were left out of reports, each with the
+            time of the first report that names it, None before. The number up
+            to which the leader has recorded ends may lie above them.
         wanted: Runs that the worker should run.
         stops: Runs that must be made absent.
         details: Details of runs, as received with the orders.
@@ -275,6 +287,8 @@
     last_answer_at_s: float = float('-inf')
     lease_granted_until_s: float = float('-inf')
     settled: SettledEnds = SettledEnds()
+    acknowledgeable: SettledEnds = SettledEnds()
+    held_ends: dict[int, float | None] = {}
     wanted: dict[RunKey, None] = {}
     stops: dict[RunKey, None] = {}
     details: dict[RunKey, RunDetails] = {}
--- a/cumintack/daemon/workflow_guard_component.py
+++ b/cumintack/daemon/workflow_guard_component.py
@@ -85,6 +85,8 @@
 UNACKNOWLEDGED_POLL_INTERVAL_S = 0.04
 # Seconds between two polls of a worker that does not answer.
 FAILED_POLL_RETRY_S = 0.2
+# The same while a start may be carried out by the next incarnation.
+URGENT_POLL_RETRY_S = 0.02
 # Smallest extension of the lease, in seconds, that is worth a call.
 MIN_LEASE_GAIN_S = 1.0
 # Innermost frames that are logged of an unexpected error.
@@ -413,7 +415,11 @@
             outcome = self._poll(worker_info, token, 0, wait_ms)
         self._post_poll_outcome(worker_info, outcome)
         if isinstance(outcome, Err):
-            self._poll_event.wait_and_reset(FAILED_POLL_RETRY_S)
+            # The next incarnation refuses a late start once it is polled.
+            is_any_late = bool(runs.unanswered_starts)
+            self._poll_event.wait_and_reset(
+                URGENT_POLL_RETRY_S if is_any_late else FAILED_POLL_RETRY_S
+            )
             return
         self._extend_lease(worker_info)
         if not is_busy:
