Refuse the submission of a workflow that was cancelled before

A caller left an entry that stood still and cancelled its job at another one, which answered 410.

Cause: cancelling an unknown workflow left nothing behind, and an entry handed in what it had read however long it had waited.

Evidence: the leader logs the cancellation, and the acceptance of the same identifier 3.7 s later.

Nothing older arrives: an entry refuses a submission whose deadline has passed while it stood still, the loop sends no call whose time has passed, and a replica drops proposals that were sent a minute before.

--- a/cumintack/daemon/leader_calls.py
+++ b/cumintack/daemon/leader_calls.py
@@ -28,7 +28,17 @@
         the call took effect.
     """
     replies: queue.SimpleQueue[CallReply | None] = queue.SimpleQueue()
-    node.post(lambda: node.call(create_message, timeout_s, replies.put))
+    deadline_s = node.clock.now_s() + timeout_s
+
+    def call() -> None:
+        # The process may have stood still before the loop came to this.
+        remaining_s = deadline_s - node.clock.now_s()
+        if remaining_s > 0:
+            node.call(create_message, remaining_s, replies.put)
+        else:
+            replies.put(None)
+
+    node.post(call)
     try:
         return replies.get(timeout=timeout_s + REPLY_GRACE_S)
     except queue.Empty:
--- a/cumintack/daemon/metric_definitions.py
+++ b/cumintack/daemon/metric_definitions.py
@@ -97,6 +97,8 @@
     _count('guard.platform_failed', 'Calls to the agent that failed.'),
     _count('guard.started', 'Attempts sent to the upstream.'),
     _count('guard.unknown', 'Attempts with unknown outcome.'),
+    _count('node.late-proposal', 'Proposals dropped because of their age.'),
+    _count('node.pause', 'Times that the process stood still.'),
     _count('node.foreign-answer', 'Answers to calls of former processes.'),
     MetricName('config.revision', 'gauge', 'revision', 'Revision in use.'),
     MetricName('guard.busy', 'gauge', 'slots', 'Slots in use.'),
--- a/cumintack/daemon/node.py
+++ b/cumintack/daemon/node.py
@@ -14,6 +14,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
+import msgspec
 import structlog
 
 from cumintack.coordination.control_calls import (
@@ -27,6 +28,7 @@
     update_replicas,
 )
 from cumintack.coordination.effects import RecordEvent, Send
+from cumintack.daemon.log_values import convert_to_ms
 from cumintack.daemon.settings import PeerSettings, Settings, get_roles
 from cumintack.protocol.codec import Envelope
 from cumintack.protocol.messages import (
@@ -36,6 +38,7 @@
     Message,
     NodeStatus,
     NodeStatusReply,
+    Propose,
     Proposed,
     QueryReply,
 )
@@ -83,11 +86,28 @@
 # they may name other replicas by then; longer than an election.
 LEADER_LOST_AFTER_S = 2.0
 
+# Age in ms at which a proposal is dropped: nobody waits for its outcome any
+# more, and what was decided on the strength of its absence is kept for longer.
+# The hybrid clocks of two processes that talk differ by far less.
+MAX_PROPOSAL_AGE_MS = 60000
+# Seconds between two iterations of the loop above which the process has stood
+# still.
+MIN_PAUSE_S = 0.5
+# Seconds after a pause within which requests are read that arrived during it.
+PAUSE_BACKLOG_S = 0.25
+
 CallReply = Proposed | QueryReply | WorkflowReply
 CallHandler = Callable[[CallReply | None], None]
 logger = structlog.get_logger()
 
 
+class Pause(msgspec.Struct, frozen=True):
+    """A time for which the process stood still."""
+
+    duration_s: float = 0
+    ended_at_s: float = float('-inf')
+
+
 class Component(Protocol):
     """A component of a process: the implementation of one role.
 
@@ -136,11 +156,13 @@
 
     __slots__ = (
         '_reply_handlers',
+        '_alive_at_s',
         '_idle_deadline_s',
         '_is_stopping',
         '_is_waiting',
         '_started_at_s',
         '_local_messages',
+        '_pause',
         '_posted_actions',
         '_sent_counts',
         '_next_status_at_s',
@@ -212,6 +234,9 @@
         self._wake_writer.setblocking(False)
         self._is_stopping = False
         self._is_waiting = False
+        # Other threads read both, so that they are replaced as a whole.
+        self._alive_at_s = clock.now_s()
+        self._pause = Pause()
         self._started_at_s = clock.now_s()
         self._leader_known_at_s = clock.now_s()
         self._leader_term = 0
@@ -349,7 +374,34 @@
             self._idle_deadline_s = now_s + IDLE_BEFORE_STOP_S
         return is_idle and now_s >= self._idle_deadline_s
 
+    def get_recent_pause_s(self) -> float:
+        """Return for how long a request may have waited that is read now.
+
+        Called by any thread.
+
+        Returns:
+            Seconds for which the process stood still until just now, 0 if it
+            did not.
+        """
+        now_s = self.clock.now_s()
+        silent_s = now_s - self._alive_at_s
+        if silent_s >= MIN_PAUSE_S:
+            return silent_s
+        pause = self._pause
+        is_recent = now_s - pause.ended_at_s < PAUSE_BACKLOG_S
+        return pause.duration_s if is_recent else 0
+
+    def _note_alive(self) -> None:
+        now_s = self.clock.now_s()
+        silent_s = now_s - self._alive_at_s
+        if silent_s >= MIN_PAUSE_S:
+            self._pause = Pause(silent_s, now_s)
+            self.metrics.count('node.pause')
+            logger.warning('node: stood still', for_ms=convert_to_ms(silent_s))
+        self._alive_at_s = now_s
+
     def _run_iteration(self) -> None:
+        self._note_alive()
         self._is_waiting = True
         is_woken = self.links.receive(self._get_wait_s(), self._receive)
         self._is_waiting = False
@@ -378,6 +430,16 @@
         return IDLE_WAIT_S if is_idle else ACTIVE_WAIT_S
 
     def _receive(self, envelope: Envelope) -> None:
+        if isinstance(envelope.message, Propose):
+            age_ms = get_wall_ms(self.clock) - envelope.stamp.wall_ms
+            if age_ms > MAX_PROPOSAL_AGE_MS:
+                self.metrics.count('node.late-proposal')
+                logger.warning(
+                    'node: late proposal dropped',
+                    peer=envelope.sender,
+                    age_ms=age_ms,
+                )
+                return
         self._handle(envelope.sender, envelope.message)
 
     def _handle(self, sender: str, message: Message) -> None:
--- a/cumintack/daemon/workflow_entry_component.py
+++ b/cumintack/daemon/workflow_entry_component.py
@@ -73,6 +73,9 @@
     ) -> WorkflowReply:
         """Query a workflow or a queue."""
 
+    def get_recent_pause_s(self) -> float:
+        """Return for how long a request that is read now may have waited."""
+
     def is_ready(self) -> bool:
         """Return whether the balancer should send callers to this entry."""
 
@@ -207,6 +210,10 @@
                 return error
         return error
 
+    def get_recent_pause_s(self) -> float:
+        """Return for how long a request that is read now may have waited."""
+        return self._node.get_recent_pause_s()
+
     def is_ready(self) -> bool:
         """Return whether the balancer should send callers to this entry."""
         leader = self._node.calls.leader
--- a/cumintack/daemon/workflow_logging.py
+++ b/cumintack/daemon/workflow_logging.py
@@ -50,7 +50,11 @@
         case AcceptWorkflow():
             _log_accepted(tables, operation)
         case CancelWorkflow():
-            logger.info('control: cancelled', workflow=operation.workflow_id)
+            logger.info(
+                'control: cancelled',
+                workflow=operation.workflow_id,
+                is_known=operation.workflow_id in tables.workflows,
+            )
         case ReplaceQueues():
             logger.info(
                 'control: queues replaced',
@@ -105,6 +109,7 @@
             workflow=operation.workflow_id,
             path=operation.path,
             version=tables.configuration.version,
+            is_cancelled=operation.workflow_id in tables.early_cancellations,
         )
         return
     logger.info(
--- a/cumintack/platform/job_calls.py
+++ b/cumintack/platform/job_calls.py
@@ -1,5 +1,6 @@
 """HTTP API of requesters: submit, cancel and query jobs; count queued jobs."""
 
+import math
 import re
 from http import HTTPStatus
 
@@ -104,6 +105,12 @@
         job_id: str,
         timeout_s: float,
     ) -> HttpResponse:
+        if self._gateway.get_recent_pause_s() >= _get_deadline_s(request):
+            # Its caller has left, and may have cancelled it elsewhere.
+            return _create_error_response(
+                HTTPStatus.SERVICE_UNAVAILABLE,
+                'not run: the deadline passed while the process stood still',
+            )
         spec = decode_job(request.body)
         if isinstance(spec, str):
             return _create_error_response(HTTPStatus.BAD_REQUEST, spec)
@@ -133,11 +140,16 @@
 
 
 def _compute_timeout_s(request: HttpRequest) -> float:
+    return min(MAX_TIMEOUT_S, _get_deadline_s(request) * TIMEOUT_SHARE)
+
+
+def _get_deadline_s(request: HttpRequest) -> float:
+    """Get how long the requester waits, infinity if it does not say so."""
     text = request.headers.get(DEADLINE_HEADER, '')
     is_number = text.isascii() and text.isdigit()
     if not is_number or len(text) > MAX_DEADLINE_DIGITS:
-        return MAX_TIMEOUT_S
-    return min(MAX_TIMEOUT_S, int(text) / MS_PER_S * TIMEOUT_SHARE)
+        return math.inf
+    return int(text) / MS_PER_S
 
 
 def _create_json_response(body: dict[str, object]) -> HttpResponse:
--- a/cumintack/platform/job_calls_test.py
+++ b/cumintack/platform/job_calls_test.py
@@ -70,6 +70,7 @@
         self.error = error
         self.operations: list[Operation] = []
         self.stopping = False
+        self.pause_s = 0.0
 
     def submit(
         self,
@@ -84,6 +85,10 @@
         """Return a fixed reply with the error."""
         return WorkflowReply(0, 'running', 12, error=self.error)
 
+    def get_recent_pause_s(self) -> float:
+        """Return for how long the entry has just stood still."""
+        return self.pause_s
+
     def is_ready(self) -> bool:
         """Return whether new callers are accepted."""
         return not self.stopping
@@ -113,6 +118,25 @@
     return FakeGateway(StepError(code, 'test'))
 
 
+# Guards against a job that begins after its caller has cancelled it elsewhere.
+@pytest.mark.parametrize('pause_s', [3.0, 60.0])
+def test_job_is_not_handed_in_after_its_deadline(pause_s: float) -> None:
+    """It may have been sent when the entry began to stand still."""
+    gateway = FakeGateway()
+    gateway.pause_s = pause_s
+    response = _send(gateway, 'POST', body=JOB)
+    assert response.status == 503
+    assert 'Retry-After' in {header.name for header in response.headers}
+    assert not gateway.operations
+
+
+def test_job_is_handed_in_after_a_pause_within_its_deadline() -> None:
+    """Its caller may still wait for the answer."""
+    gateway = FakeGateway()
+    gateway.pause_s = 2.9
+    assert _send(gateway, 'POST', body=JOB).status == 200
+
+
 def test_job_is_accepted() -> None:
     """A job becomes a workflow with the identifier that the caller chose."""
     gateway = FakeGateway()
--- a/cumintack/state/_workflow_transitions.py
+++ b/cumintack/state/_workflow_transitions.py
@@ -6,6 +6,10 @@
 
 import msgspec
 
+from cumintack.state._early_cancellations import (
+    is_cancelled_early,
+    record_early_cancellation,
+)
 from cumintack.state.errors import ErrorCode, StepError
 from cumintack.state.queues import QueueConfiguration, find_queue
 from cumintack.state.workflows import (
@@ -105,6 +109,10 @@
 ) -> StepError | None:
     if operation.workflow_id in tables.workflows:
         return NO_ERROR
+    if is_cancelled_early(tables, operation.workflow_id, now_ms):
+        return _create_error(
+            ErrorCode.expired, 'the workflow was cancelled before'
+        )
     if not tables.configuration.version:
         return _create_error(
             ErrorCode.unavailable, 'no queues are configured yet'
@@ -224,13 +232,24 @@
 ) -> StepError | None:
     workflow = tables.workflows.get(operation.workflow_id)
     if workflow is None:
-        return _create_error(ErrorCode.not_found, 'there is no such workflow')
+        return _cancel_unknown(tables, operation.workflow_id, now_ms)
     if workflow.status is not WorkflowStatus.active:
         return NO_ERROR
     _end_workflow(tables, workflow, WorkflowStatus.cancelled, now_ms)
     return NO_ERROR
 
 
+def _cancel_unknown(
+    tables: WorkflowTables, workflow_id: str, now_ms: int
+) -> StepError:
+    if record_early_cancellation(tables, workflow_id, now_ms):
+        return _create_error(ErrorCode.not_found, 'there is no such workflow')
+    # A copy of the command may still be recorded once there is room.
+    return _create_error(
+        ErrorCode.timeout, 'too many unknown workflows were cancelled'
+    )
+
+
 def _end_workflow(
     tables: WorkflowTables,
     workflow: WorkflowRecord,
--- a/cumintack/state/machine.py
+++ b/cumintack/state/machine.py
@@ -187,13 +187,14 @@
     """Apply an operation on workflows unless a copy of it was refused.
 
     It takes effect once however often it is applied, so that only its refusal
-    is recorded.
+    is recorded. A cancellation is refused for good: its workflow, which is
+    unknown, is not accepted while copies are under way.
     """
     refusal = find_refusal(tables, command)
     if refusal is not None:
         return Outcome(refusal.index, refusal.error)
     error = apply_workflow_operation(tables, operation, command.proposed_at_ms)
-    if error is not None:
+    if error is not None and not isinstance(operation, CancelWorkflow):
         record_refusal(tables, command, index, error)
     return Outcome(index, error)
 
--- a/cumintack/state/workflows.py
+++ b/cumintack/state/workflows.py
@@ -368,6 +368,8 @@
         index: Indexes derived from the workflows.
         refusals: Latest refused commands by session and sequence, oldest first.
         evacuations: The latest evacuation of each data centre that had one.
+        early_cancellations: When unknown workflows were cancelled, by
+            identifier, in ms since 1970; oldest first.
     """
 
     configuration: QueueConfiguration = QueueConfiguration()
@@ -375,6 +377,7 @@
     index: WorkflowIndex = msgspec.field(default_factory=WorkflowIndex)
     refusals: dict[str, Refusal] = {}
     evacuations: dict[str, Evacuation] = {}
+    early_cancellations: dict[str, int] = {}
 
 
 def format_task_id(key: TaskKey) -> str:
