Look at workers with room only when choosing an advice request

The cost of a choice was the number of waiting steps times that of workers, 50 times a second; it now is that of the workers that have room, and nothing where no waiting step needs advice.

--- a/cumintack/coordination/runs/advice_requests.py
+++ b/cumintack/coordination/runs/advice_requests.py
@@ -125,10 +125,11 @@
     advice = state.steps.setdefault(step, StepAdvice())
     slots = _find_slots(scheduling_pass, step, room)
     needed = len(tables.index.waiting[step].indexes)
+    views = [scheduling_pass.views[guard] for guard in slots]
     admissible = [
         view
-        for guard, view in scheduling_pass.views.items()
-        if guard in slots and view.facts.lifetime not in advice.denied_lifetimes
+        for view in views
+        if view.facts.lifetime not in advice.denied_lifetimes
     ]
     if get_step(tables, step).is_gang:
         admissible = _take_enough(admissible, slots, needed)
--- a/cumintack/daemon/advice_requester.py
+++ b/cumintack/daemon/advice_requester.py
@@ -13,6 +13,7 @@
 from cumintack.coordination.runs.admission_advice import (
     Advice,
     AdviceRequest,
+    needs_advice,
     record_advice,
 )
 from cumintack.coordination.runs.advice_requests import choose_advice_request
@@ -68,6 +69,8 @@
         state = leadership.advice
         if state.is_request_open or now_s < state.retry_at_s:
             return
+        if not any(needs_advice(tables, key) for key in tables.index.waiting):
+            return
         request = choose_advice_request(
             create_pass(leadership, tables, now_s),
             rank_waiting_steps(
