Report held ends before they are acknowledged, and log them

An end that waits for a late start was acknowledged unread if the worker listed more ends than fit into one answer: its list was then acknowledged up to what the leader had recorded, which may lie behind the end. Now such a list is reported whole, and nothing behind a held end is acknowledged before the leader has recorded it. test_held_end_of_a_cut_list_is_reported_first failed before.

The guard logs when ends begin and cease to wait.

--- a/cumintack/coordination/runs/repeated_starts_test.py
+++ b/cumintack/coordination/runs/repeated_starts_test.py
@@ -177,3 +177,21 @@
     apply_poll_result(
         state, PollResult(now_s, now_s, FIRST.lifetime, (), ended)
     )
+
+
+# Guards against an end that is acknowledged unread because its list is cut.
+def test_held_end_of_a_cut_list_is_reported_first() -> None:
+    """Until the leader has recorded it, nothing behind it is acknowledged."""
+    state = _create_state()
+    _order(state, 1, 1, (KEY,))
+    _poll(state, 1)
+    _answer(state, _take_call(state, 1, StartRun), 2, is_answered=False)
+    _answer(state, _take_call(state, 2.4, StartRun), 2.5)
+    _end(state, 4, 1, kind='failed')
+    assert not _report(state, 4).ended
+    _end(state, 4.1, 1, 2, is_cut=True, kind='failed')
+    _order(state, 2, 4.1, (), settled_number=2)
+    assert not get_number_to_acknowledge(state, FIRST)
+    assert [end.number for end in _report(state, 4.2).ended] == [1, 2]
+    _order(state, 3, 4.2, (), settled_number=2)
+    assert get_number_to_acknowledge(state, FIRST) == 2
--- a/cumintack/coordination/runs/run_reconciliation.py
+++ b/cumintack/coordination/runs/run_reconciliation.py
@@ -543,12 +543,13 @@
     """List the ends that are not acknowledged, but for those that wait.
 
     A task that is not done is started again, elsewhere perhaps. It waits until
-    the next incarnation can no longer begin the run that has ended.
+    the next incarnation can no longer begin the run that has ended, unless the
+    worker lists no further ends before this one is acknowledged.
     """
     reported = []
     for end in poll.ended:
-        is_done = end.kind == RunEndKind.done.value
-        if not is_done and has_late_twin(state, end.key, now_s):
+        is_final = end.kind == RunEndKind.done.value or not poll.lists_all_ends
+        if not is_final and has_late_twin(state, end.key, now_s):
             state.held_ends[end.number] = None
         elif end.number > state.acknowledgeable.number:
             reported.append(end)
--- a/cumintack/coordination/runs/unanswered_calls.py
+++ b/cumintack/coordination/runs/unanswered_calls.py
@@ -475,9 +475,9 @@
     """Find up to which number the recorded ends may be acknowledged.
 
     An end counts as final once it is acknowledged. It is not while the worker
-    might begin the run again after a crash, on an earlier start of it. A list
-    that leaves out ends is acknowledged all the same, since nothing would be
-    known of the others.
+    might begin the run again after a crash, on an earlier start of it. Ends
+    that a list leaves out are listed only once others are acknowledged, which
+    goes before that.
 
     Args:
         state: The state of the runs on the worker.
@@ -488,12 +488,13 @@
     """
     settled = state.settled
     poll = state.latest_poll
-    if poll is None or not poll.lists_all_ends:
-        return settled
-    withheld = [
-        end.number for end in poll.ended if has_late_twin(state, end.key, now_s)
-    ]
-    withheld.extend(state.held_ends)
+    withheld = list(state.held_ends)
+    if poll is not None and poll.lists_all_ends:
+        withheld.extend(
+            end.number
+            for end in poll.ended
+            if has_late_twin(state, end.key, now_s)
+        )
     first_withheld = min(withheld, default=settled.number + 1)
     number = min(settled.number, first_withheld - 1)
     return SettledEnds(settled.lifetime, number)
--- a/cumintack/daemon/guard_logging.py
+++ b/cumintack/daemon/guard_logging.py
@@ -144,6 +144,28 @@
         _log_runs('guard: ends listed', poll, new_ends)
 
 
+def log_held_ends(state: WorkerRunState, logged_count: int) -> int:
+    """Log ends that wait for starts which may still be carried out.
+
+    Args:
+        state: The state of the runs on the worker.
+        logged_count: How many ends waited when it was logged last.
+
+    Returns:
+        How many wait now.
+    """
+    unacknowledged = state.settled.number - state.acknowledgeable.number
+    count = len(state.held_ends) + unacknowledged
+    if bool(count) is not bool(logged_count):
+        logger.info(
+            'guard: ends held',
+            lifetime=state.facts.lifetime if state.facts else '',
+            unreported=len(state.held_ends),
+            unacknowledged=unacknowledged,
+        )
+    return count
+
+
 def log_closed_runs(
     report: RunReport, logged: frozenset[RunKey]
 ) -> frozenset[RunKey]:
--- a/cumintack/daemon/workflow_guard_component.py
+++ b/cumintack/daemon/workflow_guard_component.py
@@ -57,6 +57,7 @@
 from cumintack.daemon.guard_logging import (
     log_call,
     log_closed_runs,
+    log_held_ends,
     log_hold,
     log_poll,
     log_token,
@@ -160,6 +161,7 @@
         '_queued_calls',
         '_client',
         '_closed',
+        '_held_end_count',
         '_health_prober',
         '_lease_sent_until_s',
         '_is_closing',
@@ -195,6 +197,7 @@
         self._lease_sent_until_s = 0.0
         self._acknowledged = SettledEnds()
         self._closed: frozenset[RunKey] = frozenset()
+        self._held_end_count = 0
         self._is_closing = False
         self._is_worker_lost = False
         self._is_report_withheld = False
@@ -626,6 +629,7 @@
         if report is None or not leader:
             return
         self._closed = log_closed_runs(report, self._closed)
+        self._held_end_count = log_held_ends(self._runs, self._held_end_count)
         self._next_report_at_s = (
             now_s + self._settings.report_interval_ms / MS_PER_S
         )
