Hold no end on a draining worker, nor of a long-running task

Its run had been started twice and was stopped since its worker drained; the guard held the end back until the first start could come no more. The worker left meanwhile, so that the run was taken for running for the time of a late start and a lease.

Both new tests failed before.

--- a/cumintack/coordination/runs/repeated_starts_test.py
+++ b/cumintack/coordination/runs/repeated_starts_test.py
@@ -1,8 +1,11 @@
 """Tests that a start which is repeated, or replaced, has no late twin."""
 
+import msgspec
+
 from cumintack.coordination.runs.run_reconciliation import (
     apply_poll_result,
     get_number_to_acknowledge,
+    record_worker_info,
 )
 from cumintack.coordination.runs.unanswered_calls import MAX_CALL_DELAY_S
 from cumintack.coordination.runs.unanswered_calls_test import (
@@ -21,7 +24,7 @@
     StopRun,
     WorkerRunState,
 )
-from cumintack.protocol.run_messages import EndedRun, RunKey
+from cumintack.protocol.run_messages import EndedRun, RunDetails, RunKey
 
 
 def _end(
@@ -195,3 +198,31 @@
     assert [end.number for end in _report(state, 4.2).ended] == [1, 2]
     _order(state, 3, 4.2, (), settled_number=2)
     assert get_number_to_acknowledge(state, FIRST) == 2
+
+
+# Guards against a task that waits for 20 s more because its worker has left.
+def test_end_on_a_draining_worker_is_reported_at_once() -> None:
+    """Also one that was held before the worker began to drain."""
+    state = _create_state()
+    _order(state, 1, 1, (KEY,))
+    _poll(state, 1)
+    _answer(state, _take_call(state, 1, StartRun), 2, is_answered=False)
+    _answer(state, _take_call(state, 2.4, StartRun), 2.5)
+    _end(state, 4, 1, kind='failed')
+    assert not _report(state, 4).ended
+    draining = msgspec.structs.replace(FIRST, is_draining=True)
+    record_worker_info(state, draining, 5)
+    assert [end.number for end in _report(state, 5).ended] == [1]
+
+
+# Guards against a long-running task that is missed until no start may come.
+def test_end_of_a_long_running_task_is_reported_at_once() -> None:
+    """Its next run must begin within seconds."""
+    state = _create_state()
+    _order(state, 1, 1, (KEY,))
+    state.details[KEY] = RunDetails('text', is_long_running=True)
+    _poll(state, 1)
+    _answer(state, _take_call(state, 1, StartRun), 2, is_answered=False)
+    _answer(state, _take_call(state, 2.4, StartRun), 2.5)
+    _end(state, 4, 1, kind='stopped')
+    assert [end.number for end in _report(state, 4).ended] == [1]
--- a/cumintack/coordination/runs/run_orders.py
+++ b/cumintack/coordination/runs/run_orders.py
@@ -148,6 +148,7 @@
         step.image,
         step.need.cores_milli,
         bool(placed.record.crashed_on),
+        step.is_long_running,
     )
 
 
--- a/cumintack/coordination/runs/run_reconciliation.py
+++ b/cumintack/coordination/runs/run_reconciliation.py
@@ -300,8 +300,21 @@
     An incarnation that knows nothing of a stop might carry the start out.
     """
     start = state.unanswered_starts.get(key)
-    is_known = start is not None and not start.is_assumed
-    return is_known and may_come_late(state, key, now_s)
+    if start is None or start.is_assumed or not _can_task_wait(state, key):
+        return False
+    return may_come_late(state, key, now_s)
+
+
+def _can_task_wait(state: WorkerRunState, key: RunKey) -> bool:
+    """Return whether a task may wait for the time of a late start.
+
+    What a draining worker has not told when it leaves is lost, and the task
+    waits for longer. A long-running task is missed while it waits.
+    """
+    if state.facts is None or state.facts.is_draining:
+        return False
+    details = state.details.get(key)
+    return details is None or not details.is_long_running
 
 
 def _check_absence(call_state: RunCallState, poll: PollResult) -> bool:
@@ -548,8 +561,13 @@
     """
     reported = []
     for end in poll.ended:
-        is_final = end.kind == RunEndKind.done.value or not poll.lists_all_ends
-        if not is_final and has_late_twin(state, end.key, now_s):
+        is_held = (
+            end.kind != RunEndKind.done.value
+            and poll.lists_all_ends
+            and _can_task_wait(state, end.key)
+            and has_late_twin(state, end.key, now_s)
+        )
+        if is_held:
             state.held_ends[end.number] = None
         elif end.number > state.acknowledgeable.number:
             reported.append(end)
--- a/cumintack/protocol/run_messages.py
+++ b/cumintack/protocol/run_messages.py
@@ -54,6 +54,7 @@
             alike.
         need_milli: Requested milli-cores.
         is_suspected: Whether it may crash its worker when it starts.
+        is_long_running: Whether it has no end of its own.
     """
 
     program: str
@@ -64,6 +65,7 @@
     image: str = ''
     need_milli: int = 0
     is_suspected: bool = False
+    is_long_running: bool = False
 
 
 class PairWeight(msgspec.Struct, frozen=True, array_like=True):
