--- a/cumintack/coordination/runs/repeated_starts_test.py
+++ b/cumintack/coordination/runs/repeated_starts_test.py
@@ -1,4 +1,4 @@
-"""Tests that a start which is repeated, or replaced, has no late twin."""
+"""Tests that a run which was started twice does not begin a second time."""
 
 import msgspec
 
@@ -27,6 +27,16 @@
 from cumintack.protocol.run_messages import EndedRun, RunDetails, RunKey
 
 
+def _start_twice() -> WorkerRunState:
+    """Start a run twice: the first call has no answer, the second has one."""
+    state = _create_state()
+    _order(state, 1, 1, (KEY,))
+    _poll(state, 1)
+    _answer(state, _take_call(state, 1, StartRun), 2, is_answered=False)
+    _answer(state, _take_call(state, 2.4, StartRun), 2.5)
+    return state
+
+
 def _end(
     state: WorkerRunState,
     now_s: float,
@@ -59,11 +69,7 @@
 # Guards against a second run of a task whose end was acknowledged.
 def test_end_of_a_repeated_start_is_not_final_while_one_may_come() -> None:
     """A crashed worker knows of no end, and would begin the task again."""
-    state = _create_state()
-    _order(state, 1, 1, (KEY,))
-    _poll(state, 1)
-    _answer(state, _take_call(state, 1, StartRun), 2, is_answered=False)
-    _answer(state, _take_call(state, 2.4, StartRun), 2.5)
+    state = _start_twice()
     _end(state, 4, 1, 2)
     # The leader records the end at once, so that no crash loses it.
     assert [end.number for end in _report(state, 4).ended] == [1, 2]
@@ -91,11 +97,7 @@
 # Guards against ends that stay hidden behind those that are not final.
 def test_cut_list_of_ends_is_acknowledged() -> None:
     """A worker lists further ends only once it may forget the first ones."""
-    state = _create_state()
-    _order(state, 1, 1, (KEY,))
-    _poll(state, 1)
-    _answer(state, _take_call(state, 1, StartRun), 2, is_answered=False)
-    _answer(state, _take_call(state, 2.4, StartRun), 2.5)
+    state = _start_twice()
     _end(state, 4, 1, is_cut=True)
     _order(state, 2, 4, (), settled_number=1)
     assert get_number_to_acknowledge(state, FIRST) == 1
@@ -135,11 +137,7 @@
 # Guards against a run elsewhere while the failed one may begin once more.
 def test_failed_end_of_a_repeated_start_waits() -> None:
     """A crashed worker knows of no end; the ends behind it are reported."""
-    state = _create_state()
-    _order(state, 1, 1, (KEY,))
-    _poll(state, 1)
-    _answer(state, _take_call(state, 1, StartRun), 2, is_answered=False)
-    _answer(state, _take_call(state, 2.4, StartRun), 2.5)
+    state = _start_twice()
     _end(state, 4, 1, 2, kind='failed')
     assert [end.number for end in _report(state, 4).ended] == [1]
     _order(state, 2, 4, (), settled_number=1)
@@ -151,11 +149,7 @@
 # Guards against an end that is acknowledged before it is reported.
 def test_end_that_waits_is_reported_after_later_ones_are_recorded() -> None:
     """The leader records a later end and names its number."""
-    state = _create_state()
-    _order(state, 1, 1, (KEY,))
-    _poll(state, 1)
-    _answer(state, _take_call(state, 1, StartRun), 2, is_answered=False)
-    _answer(state, _take_call(state, 2.4, StartRun), 2.5)
+    state = _start_twice()
     failed = EndedRun(1, KEY, 'failed', '')
     later = EndedRun(2, RunKey('2.0.0.0', 1), 'done', '')
     over_s = 2 + MAX_CALL_DELAY_S + 0.1
@@ -185,11 +179,7 @@
 # Guards against an end that is acknowledged unread because its list is cut.
 def test_held_end_of_a_cut_list_is_reported_first() -> None:
     """Until the leader has recorded it, nothing behind it is acknowledged."""
-    state = _create_state()
-    _order(state, 1, 1, (KEY,))
-    _poll(state, 1)
-    _answer(state, _take_call(state, 1, StartRun), 2, is_answered=False)
-    _answer(state, _take_call(state, 2.4, StartRun), 2.5)
+    state = _start_twice()
     _end(state, 4, 1, kind='failed')
     assert not _report(state, 4).ended
     _end(state, 4.1, 1, 2, is_cut=True, kind='failed')
@@ -203,11 +193,7 @@
 # Guards against a task that waits for 20 s more because its worker has left.
 def test_end_on_a_draining_worker_is_reported_at_once() -> None:
     """Also one that was held before the worker began to drain."""
-    state = _create_state()
-    _order(state, 1, 1, (KEY,))
-    _poll(state, 1)
-    _answer(state, _take_call(state, 1, StartRun), 2, is_answered=False)
-    _answer(state, _take_call(state, 2.4, StartRun), 2.5)
+    state = _start_twice()
     _end(state, 4, 1, kind='failed')
     assert not _report(state, 4).ended
     draining = msgspec.structs.replace(FIRST, is_draining=True)
--- a/cumintack/coordination/runs/run_reconciliation.py
+++ b/cumintack/coordination/runs/run_reconciliation.py
@@ -24,7 +24,7 @@
     clear_unanswered_start,
     find_acknowledgeable_ends,
     get_latest_effect,
-    has_late_twin,
+    may_begin_again,
     has_unanswered_start,
     is_accepting,
     is_restarted,
@@ -565,7 +565,7 @@
             end.kind != RunEndKind.done.value
             and poll.lists_all_ends
             and _can_task_wait(state, end.key)
-            and has_late_twin(state, end.key, now_s)
+            and may_begin_again(state, end.key, now_s)
         )
         if is_held:
             state.held_ends[end.number] = None
--- a/cumintack/coordination/runs/unanswered_calls.py
+++ b/cumintack/coordination/runs/unanswered_calls.py
@@ -453,7 +453,7 @@
     return start.is_in_flight or now_s <= start.until_s
 
 
-def has_late_twin(state: WorkerRunState, key: RunKey, now_s: float) -> bool:
+def may_begin_again(state: WorkerRunState, key: RunKey, now_s: float) -> bool:
     """Tell whether a run was started again and may begin once more.
 
     Args:
@@ -493,7 +493,7 @@
         withheld.extend(
             end.number
             for end in poll.ended
-            if has_late_twin(state, end.key, now_s)
+            if may_begin_again(state, end.key, now_s)
         )
     first_withheld = min(withheld, default=settled.number + 1)
     number = min(settled.number, first_withheld - 1)
